Set down the shape: slices, core types, settings, messages

Cause: an empty repository; every later part needs the folders, the value types, the typed failures and the interfaces of clock, disk and transport. Conclusion: the slices can be built against these headers in parallel.

--- /dev/null
+++ b/include/mangoplank/cell/state.h
@@ -0,0 +1,91 @@
+#ifndef MANGOPLANK_CELL_STATE_H_
+#define MANGOPLANK_CELL_STATE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "mangoplank/cell/command.h"
+
+namespace mangoplank::cell {
+
+/// The answer kept for a resend of a request.
+struct answered_request {
+  /// Identifies the command, so that another command under the same id is
+  /// refused.
+  std::uint64_t digest = 0;
+  core::wall_time_ms at = 0;
+  core::outcome<accepted> answer;
+};
+
+/// All values of a state, to be written to a snapshot.
+struct state_image {
+  core::revision at = 0;
+  std::vector<object> objects;
+  std::vector<worker_record> workers;
+  std::vector<task_record> tasks;
+  std::vector<call_record> calls;
+  /// Caller, request id, answer.
+  struct request_image {
+    core::department_id caller;
+    core::request_id id;
+    answered_request kept;
+  };
+  std::vector<request_image> requests;
+};
+
+/// The replicated state of a cell. Apply is deterministic: the same commands
+/// in the same order give the same state in every process.
+class state {
+ public:
+  /// Applies one committed command.
+  /// @param at its revision, one more than the last.
+  effect Apply(core::revision at, const command& c);
+
+  /// @return what Apply would answer, without any change.
+  effect DryRun(const command& c) const;
+
+  core::revision At() const { return at_; }
+  /// @return nullptr if there is none.
+  const object* Find(const object_key& key) const;
+  const worker_record* FindWorker(const core::worker_id& id) const;
+  const task_record* FindTask(const task_id& id) const;
+  const call_record* FindCall(const call_key& key) const;
+  const std::map<object_key, object>& Objects() const { return objects_; }
+  const std::map<core::worker_id, worker_record>& Workers() const {
+    return workers_;
+  }
+  const std::map<task_id, task_record>& Tasks() const { return tasks_; }
+  const std::map<call_key, call_record>& Calls() const { return calls_; }
+  /// @return what placed tasks hold of the worker.
+  core::resources Committed(const core::worker_id& id) const;
+  job_status StatusOf(core::revision job_uid) const;
+
+  state_image Image() const;
+  static state FromImage(const state_image& image);
+
+ private:
+  struct applier;
+
+  core::revision at_ = 0;
+  std::map<object_key, object> objects_;
+  std::map<core::worker_id, worker_record> workers_;
+  std::map<task_id, task_record> tasks_;
+  std::map<call_key, call_record> calls_;
+  std::unordered_map<core::worker_id, core::resources> committed_;
+  std::unordered_map<core::worker_id, std::set<task_id>> tasks_of_worker_;
+  std::map<std::pair<core::department_id, core::request_id>, answered_request>
+      requests_;
+};
+
+/// Checks an object before it is proposed.
+/// @return one entry for each field that is not valid; empty if all are.
+std::vector<core::field_error> Validate(const object_key& key,
+                                        const object_spec& spec);
+
+}  // namespace mangoplank::cell
+
+#endif  // MANGOPLANK_CELL_STATE_H_
--- /dev/null
+++ b/include/mangoplank/consensus/node.h
@@ -0,0 +1,88 @@
+#ifndef MANGOPLANK_CONSENSUS_NODE_H_
+#define MANGOPLANK_CONSENSUS_NODE_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "mangoplank/consensus/interfaces.h"
+
+namespace mangoplank::consensus {
+
+struct node_settings {
+  core::cell_id cell;
+  core::member_id self;
+  /// Members of a new cell. Read only when the data folder is first made with
+  /// `create`.
+  std::vector<member> initial_members;
+  /// Makes a new data folder; without it a missing folder is a failure, so that
+  /// a lost disk is never taken for an empty cell.
+  bool create = false;
+  /// Makes a new data folder that joins a running cell as a learner.
+  bool join = false;
+  core::milliseconds election_timeout{1000};
+  core::milliseconds heartbeat_interval{200};
+  std::uint64_t max_batch_bytes = 256 * 1024;
+  std::uint64_t max_inflight_batches = 16;
+  std::uint64_t snapshot_chunk_bytes = 256 * 1024;
+  /// Log bytes after which a snapshot is taken and the log cut.
+  std::uint64_t snapshot_after_bytes = 16 * 1024 * 1024;
+  /// Bounds the memory of proposals that wait for a commit.
+  std::uint64_t max_pending_bytes = 8 * 1024 * 1024;
+};
+
+struct node_status {
+  bool leads = false;
+  core::term t = 0;
+  std::optional<core::member_id> leader;
+  core::revision committed = 0;
+  core::revision applied = 0;
+  core::revision first_kept = 0;
+  membership members;
+
+  friend bool operator==(const node_status&, const node_status&) = default;
+};
+
+/// One member of the replicated log.
+class node {
+ public:
+  node(node_settings settings, boost::asio::any_io_executor executor,
+       core::clock& clock, transport& transport, disk& disk,
+       disk_runner& runner, state_machine& machine, std::uint64_t random_seed);
+  ~node();
+
+  /// Reads the data folder and starts the tasks.
+  /// @return storage_failed with its kind if the folder can't be used.
+  core::awaitable<core::outcome<void>> Start();
+  /// Serves a link that another member opened, until it fails.
+  core::awaitable<void> Serve(std::shared_ptr<peer_link> link);
+  /// Passes leadership on if it leads, then ends all tasks.
+  core::awaitable<void> Stop();
+
+  /// Appends a command.
+  /// @return its revision once committed and applied here; not_leader if
+  /// nothing was appended, commit_unknown if the outcome is open, unavailable
+  /// if too much is pending.
+  core::awaitable<core::outcome<core::revision>> Propose(std::string command);
+  /// Waits until all that was committed when it was called is applied here.
+  /// @return not_leader or unavailable if that can't be known.
+  core::awaitable<core::outcome<core::revision>> ReadBarrier();
+  /// Whether this process is surely the only leader now.
+  bool HoldsLease() const;
+  node_status Status() const;
+
+  /// Adds a learner, promotes it, or removes a member; one step at a time.
+  core::awaitable<core::outcome<core::revision>> ChangeMember(member m,
+                                                              bool remove);
+  core::awaitable<core::outcome<void>> TransferLeadership(core::member_id to);
+  /// @return the failure that stopped the node, for the process to end with.
+  core::awaitable<core::failure> Stopped();
+
+ private:
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace mangoplank::consensus
+
+#endif  // MANGOPLANK_CONSENSUS_NODE_H_
--- /dev/null
+++ b/include/mangoplank/settings/settings.h
@@ -0,0 +1,103 @@
+#ifndef MANGOPLANK_SETTINGS_SETTINGS_H_
+#define MANGOPLANK_SETTINGS_SETTINGS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "mangoplank/core/failure.h"
+
+/// Settings of a process, read from one INI file.
+namespace mangoplank::settings {
+
+/// A whole number with bounds and a unit.
+struct integer_option {
+  std::int64_t fallback = 0;
+  std::int64_t min = 0;
+  std::int64_t max = 0;
+  std::string_view unit;
+};
+/// Free text. Without a fallback the option must be set.
+struct text_option {
+  std::string_view fallback;
+  bool required = false;
+  std::size_t max_bytes = 4096;
+};
+/// `true` or `false`.
+struct flag_option {
+  bool fallback = false;
+};
+/// ADDRESS:PORT with an IP address.
+struct endpoint_option {
+  std::string_view fallback;
+  bool required = false;
+};
+/// One of a few words.
+struct choice_option {
+  std::string_view fallback;
+  std::vector<std::string_view> allowed;
+};
+/// `name = ADDRESS:PORT` lines, one for each member of a section.
+struct endpoint_table_option {};
+
+using option_type =
+    std::variant<integer_option, text_option, flag_option, endpoint_option,
+                 choice_option, endpoint_table_option>;
+
+/// One setting, declared once. All else about it is derived from here.
+struct option {
+  std::string_view section;
+  /// Empty for a table, whose keys are names.
+  std::string_view key;
+  option_type type;
+  std::string_view help;
+};
+
+/// The checked content of a file.
+class values {
+ public:
+  std::int64_t Integer(std::string_view section, std::string_view key) const;
+  const std::string& Text(std::string_view section, std::string_view key) const;
+  bool Flag(std::string_view section, std::string_view key) const;
+  core::endpoint Endpoint(std::string_view section, std::string_view key) const;
+  core::milliseconds Milliseconds(std::string_view section,
+                                  std::string_view key) const;
+  const std::map<std::string, core::endpoint>& Table(
+      std::string_view section) const;
+
+  friend bool operator==(const values&, const values&) = default;
+
+ private:
+  friend class parser;
+  using value = std::variant<std::int64_t, std::string, bool, core::endpoint,
+                             std::map<std::string, core::endpoint>>;
+  const value& At(std::string_view section, std::string_view key) const;
+
+  std::map<std::pair<std::string, std::string>, value, std::less<>> values_;
+};
+
+/// Reads INI text against the declared options.
+/// @param file name for failures.
+/// @return the values, or invalid_setting with file, line, key and the allowed
+/// range for the first line that is unknown, repeated, malformed or out of
+/// range, or for a required option that is not set (line 0).
+core::result<values> Parse(const std::vector<option>& options,
+                           std::string_view text, const std::string& file);
+
+/// Reads a file.
+/// @return as Parse, or storage_failed if it can't be read.
+core::result<values> Load(const std::vector<option>& options,
+                          const std::string& file);
+
+/// @return `ADDRESS:PORT` as an endpoint, or invalid_setting.
+core::result<core::endpoint> ParseEndpoint(std::string_view text);
+
+/// @return a Markdown table of the options.
+std::string Document(const std::vector<option>& options);
+
+}  // namespace mangoplank::settings
+
+#endif  // MANGOPLANK_SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/src/settings/settings_test.cpp
@@ -0,0 +1,64 @@
+#include "mangoplank/settings/settings.h"
+
+#include <gtest/gtest.h>
+
+namespace mangoplank::settings {
+namespace {
+
+const std::vector<option> kOptions = {
+    {"http", "listen", endpoint_option{"", true}, "address"},
+    {"http", "max_body", integer_option{1024, 1, 4096, "bytes"}, "limit"},
+    {"log", "level", choice_option{"info", {"debug", "info"}}, "level"},
+    {"peers", "", endpoint_table_option{}, "members"},
+};
+
+core::outcome<values> Try(std::string_view text) {
+  return core::Capture([&] { return Parse(kOptions, text, "a.ini"); });
+}
+
+core::invalid_setting Refusal(std::string_view text) {
+  const auto v = Try(text);
+  return v ? core::invalid_setting{}
+           : std::get<core::invalid_setting>(v.error());
+}
+
+TEST(SettingsTest, ReadsValuesFallbacksAndTables) {
+  const auto v = Try(
+      "; comment\n[http]\nlisten = 127.0.0.1:80\n[peers]\na = 127.0.0.2:1\n");
+  ASSERT_TRUE(v);
+  EXPECT_EQ(v->Endpoint("http", "listen"), (core::endpoint{"127.0.0.1", 80}));
+  EXPECT_EQ(v->Integer("http", "max_body"), 1024);
+  EXPECT_EQ(v->Text("log", "level"), "info");
+  EXPECT_EQ(v->Table("peers").at("a"), (core::endpoint{"127.0.0.2", 1}));
+}
+
+// Guards against a failure message that does not lead to the faulty line.
+TEST(SettingsTest, NamesFileLineKeyAndRange) {
+  EXPECT_EQ(
+      Refusal("[http]\nlisten = 127.0.0.1:80\nmax_body = 9999\n"),
+      (core::invalid_setting{"a.ini", 3, "http.max_body",
+                             "must be a whole number from 1 to 4096 bytes"}));
+}
+
+// Guards against a misspelt key that silently leaves the default in force.
+TEST(SettingsTest, RefusesUnknownKeysAndMissingOnes) {
+  EXPECT_EQ(Refusal("[http]\nlisten = 127.0.0.1:80\nmax_bdy = 1\n").reason,
+            "unknown key");
+  EXPECT_EQ(Refusal("[log]\nlevel = info\n").key, "http.listen");
+}
+
+TEST(SettingsTest, RefusesMalformedValues) {
+  EXPECT_EQ(Refusal("[http]\nlisten = host:80\n").reason,
+            "must be IP-ADDRESS:PORT");
+  EXPECT_EQ(Refusal("[http]\nlisten = 127.0.0.1:80\nmax_body = 12kB\n").line,
+            3);
+  EXPECT_EQ(Refusal("[http]\nlisten = 127.0.0.1:80\n[log]\nlevel = x\n").reason,
+            "must be one of: debug, info");
+  EXPECT_EQ(Refusal("[http\n").line, 1);
+  EXPECT_EQ(
+      Refusal("[http]\nlisten = 127.0.0.1:80\nlisten = 127.0.0.1:81\n").line,
+      3);
+}
+
+}  // namespace
+}  // namespace mangoplank::settings
