Metrics registry with text exposition and mergeable histograms

Cause: every process must show counters and latency distributions. Change: counters, gauges and histograms (Boost.Accumulators for totals, Boost.Histogram for buckets), exposed in the Prometheus text format. Conclusion: histograms of several entries can be merged for the report.

--- /dev/null
+++ b/include/mangoplank/metrics/registry.h
@@ -0,0 +1,119 @@
+#ifndef MANGOPLANK_METRICS_REGISTRY_H_
+#define MANGOPLANK_METRICS_REGISTRY_H_
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Metrics of one process, in the Prometheus text exposition format 0.0.4.
+namespace mangoplank::metrics {
+
+/// Label names and values; values come from bounded sets only.
+using labels = std::map<std::string, std::string>;
+
+/// Only grows while the process lives.
+class counter {
+ public:
+  void Add(std::uint64_t n = 1) { n_ += n; }
+  std::uint64_t Value() const { return n_; }
+
+ private:
+  std::uint64_t n_ = 0;
+};
+
+class gauge {
+ public:
+  void Set(double v) { v_ = v; }
+  double Value() const { return v_; }
+
+ private:
+  double v_ = 0;
+};
+
+/// Distribution of durations on a logarithmic axis from 10 us to 100 s with
+/// ten buckets a decade, so that a quantile is off by at most 26%.
+class histogram {
+ public:
+  histogram();
+  void Add(double seconds);
+  /// Adds all samples of another.
+  void Merge(const histogram& other);
+  std::uint64_t Count() const;
+  double Sum() const;
+  double Max() const;
+  /// @param q from 0 to 1.
+  /// @return upper bound of the bucket with the q-quantile, in seconds.
+  double Quantile(double q) const;
+  /// @return samples at or below `seconds`, to the resolution of the buckets.
+  std::uint64_t CountUpTo(double seconds) const;
+
+ private:
+  friend class registry;
+  using axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using buckets = decltype(boost::histogram::make_histogram(axis()));
+  using totals = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                         boost::accumulators::tag::sum,
+                                         boost::accumulators::tag::max>>;
+  buckets buckets_;
+  totals totals_;
+  /// Merged from others; the accumulators can't be added.
+  std::uint64_t merged_count_ = 0;
+  double merged_sum_ = 0;
+  double merged_max_ = 0;
+};
+
+/// Owns the metrics of a process. Used from one thread. A reference that a
+/// lookup returned stays valid; keep it rather than look it up on each use.
+class registry {
+ public:
+  counter& Counter(std::string_view name, std::string_view help,
+                   const labels& l = {});
+  gauge& Gauge(std::string_view name, std::string_view help,
+               const labels& l = {});
+  histogram& Histogram(std::string_view name, std::string_view help,
+                       const labels& l = {});
+  /// @return all metrics in text form, sorted by name.
+  std::string Expose() const;
+  /// A name, its type and its help, for the documentation check.
+  struct description {
+    std::string name;
+    std::string type;
+    std::string help;
+  };
+  std::vector<description> Describe() const;
+
+ private:
+  template <class T>
+  struct family {
+    std::string help;
+    std::map<labels, std::unique_ptr<T>> members;
+  };
+  template <class T>
+  using families = std::map<std::string, family<T>, std::less<>>;
+
+  template <class T>
+  static T& Find(families<T>& all, std::string_view name, std::string_view help,
+                 const labels& l);
+
+  families<counter> counters_;
+  families<gauge> gauges_;
+  families<histogram> histograms_;
+};
+
+}  // namespace mangoplank::metrics
+
+#endif  // MANGOPLANK_METRICS_REGISTRY_H_
