--- /dev/null
+++ b/src/distribution/view.cpp
@@ -0,0 +1,77 @@
+#include "mangoplank/distribution/view.h"
+
+#include <algorithm>
+
+namespace mangoplank::distribution {
+
+using core::overloaded;
+
+void view::Apply(const control::feed_batch& batch, core::time_point now) {
+  if (batch.reset) {
+    objects_.clear();
+    workers_.clear();
+    tasks_.clear();
+    replicas_.clear();
+  }
+  for (const cell::change& c : batch.changes) ApplyChange(c);
+  at_ = batch.to;
+  confirmed_at_ = now;
+}
+
+void view::ApplyChange(const cell::change& c) {
+  std::visit(
+      overloaded{
+          [&](const cell::object_changed& o) { objects_[o.now.key] = o.now; },
+          [&](const cell::object_deleted& o) { objects_.erase(o.key); },
+          [&](const cell::worker_changed& w) { workers_[w.now.id] = w.now; },
+          [&](const cell::worker_removed& w) { workers_.erase(w.id); },
+          [&](const cell::task_changed& t) {
+            tasks_[t.now.id] = t.now;
+            if (t.now.phase == cell::task_phase::kRunning) {
+              replicas_[t.now.job][t.now.id] = t.now.worker;
+            } else {
+              replicas_[t.now.job].erase(t.now.id);
+            }
+          },
+          [&](const cell::task_removed& t) {
+            const auto it = tasks_.find(t.id);
+            if (it == tasks_.end()) return;
+            const auto job = replicas_.find(it->second.job);
+            if (job != replicas_.end()) {
+              job->second.erase(t.id);
+              if (job->second.empty()) replicas_.erase(job);
+            }
+            tasks_.erase(it);
+          },
+          [](const cell::call_changed&) {}, [](const cell::call_removed&) {}},
+      c);
+}
+
+const cell::object* view::Find(const cell::object_key& key) const {
+  const auto it = objects_.find(key);
+  return it == objects_.end() ? nullptr : &it->second;
+}
+
+const cell::worker_record* view::FindWorker(const core::worker_id& id) const {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+std::vector<const cell::worker_record*> view::WorkersOf(
+    const cell::object_key& service) const {
+  std::vector<const cell::worker_record*> found;
+  const auto it = replicas_.find(service);
+  if (it == replicas_.end()) return found;
+  for (const auto& [task, worker] : it->second) {
+    const cell::worker_record* const w = FindWorker(worker);
+    const bool known = w != nullptr && !w->drain &&
+                       w->incarnation == tasks_.at(task).worker_incarnation;
+    // Two replicas may share a worker; it is listed once.
+    if (known && std::find(found.begin(), found.end(), w) == found.end()) {
+      found.push_back(w);
+    }
+  }
+  return found;
+}
+
+}  // namespace mangoplank::distribution
