Placement: first scheduler with services, batch and gang jobs

Cause: the control process needs a scheduler behind a stable header. Change: model of workers, departments and jobs that follows cell changes; rounds of decisions in the order of hierarchical weighted dominant shares, quota first; whole gangs; rolling replacement; jobs that no worker could hold are reported. Every worker is scored for each task.

--- /dev/null
+++ b/src/placement/scheduler.cpp
@@ -0,0 +1,42 @@
+#include "mangoplank/placement/scheduler.h"
+
+#include <utility>
+
+#include "scheduler_impl.h"
+
+namespace mangoplank::placement {
+
+scheduler::scheduler(policy p, std::uint64_t seed)
+    : impl_(std::make_unique<impl>(p, seed)) {}
+
+scheduler::~scheduler() = default;
+scheduler::scheduler(scheduler&&) noexcept = default;
+scheduler& scheduler::operator=(scheduler&&) noexcept = default;
+
+void scheduler::Observe(const cell::change& c, core::time_point now) {
+  impl_->Observe(c, now);
+}
+
+void scheduler::ObserveUsage(const cell::task_id&, core::resources,
+                             core::time_point) {}
+
+round scheduler::Decide(core::time_point now) { return impl_->Decide(now); }
+
+void scheduler::Forget(const decision& d, core::time_point now) {
+  impl_->Forget(d, now);
+}
+
+explanation scheduler::Explain(const cell::object_key& job,
+                               core::time_point now) const {
+  return impl_->Explain(job, now);
+}
+
+std::vector<share> scheduler::Shares(core::time_point) const {
+  return impl_->Shares();
+}
+
+core::resources scheduler::FreeOf(const core::worker_id& id) const {
+  return impl_->FreeOf(id);
+}
+
+}  // namespace mangoplank::placement
