--- a/include/mangoplank/cell/state.h
+++ b/include/mangoplank/cell/state.h
@@ -62,6 +62,8 @@
   const std::map<call_key, call_record>& Calls() const { return calls_; }
   /// @return what placed tasks hold of the worker.
   core::resources Committed(const core::worker_id& id) const;
+  /// @return tasks that hold resources of the worker.
+  const std::set<task_id>& TasksOf(const core::worker_id& id) const;
   job_status StatusOf(core::revision job_uid) const;
 
   state_image Image() const;
--- a/include/mangoplank/control/messages.h
+++ b/include/mangoplank/control/messages.h
@@ -111,7 +111,10 @@
   core::term t = 0;
   /// Grows with each set; the entry reports the one it has gone back to.
   std::uint64_t sequence = 0;
-  /// Time from receipt for which the grants hold.
+  /// Number of the report that is answered.
+  std::uint64_t report = 0;
+  /// Time from the sending of that report for which the grants hold. Counted
+  /// from there since a paused process may receive the answer late.
   core::milliseconds lease{0};
   std::vector<slot_grant> grants;
 
@@ -120,9 +123,14 @@
 
 /// Demand of an entry, and the set of grants it now keeps to.
 struct slot_report {
+  /// Grows with each report of an entry process.
+  std::uint64_t number = 0;
+  /// Term and sequence of the set of grants that the entry keeps to.
   core::term t = 0;
   std::uint64_t kept_sequence = 0;
   std::vector<slot_demand> demand;
+  /// What that set grants and has not ended; lets a new leader renew it.
+  std::vector<slot_grant> held;
 
   friend bool operator==(const slot_report&, const slot_report&) = default;
 };
--- a/src/cell/state.cpp
+++ b/src/cell/state.cpp
@@ -54,6 +54,12 @@
   return it == committed_.end() ? core::resources{} : it->second;
 }
 
+const std::set<task_id>& state::TasksOf(const core::worker_id& id) const {
+  static const std::set<task_id> kNone;
+  const auto it = tasks_of_worker_.find(id);
+  return it == tasks_of_worker_.end() ? kNone : it->second;
+}
+
 job_status state::StatusOf(core::revision job_uid) const {
   job_status s;
   for (auto it = tasks_.lower_bound({job_uid, 0});
