Encode commands, state images, consensus and control messages

A decoder returns a typed failure for any bytes that are not a message of its type. The traversal limit is four times the message, and the lists of a decoded value take at most 32 times its size.

Conclusion: the control process can encode its log and its messages.

--- a/include/mangoplank/cell/state.h
+++ b/include/mangoplank/cell/state.h
@@ -19,6 +19,9 @@
   std::uint64_t digest = 0;
   core::wall_time_ms at = 0;
   core::outcome<accepted> answer;
+
+  friend bool operator==(const answered_request&,
+                         const answered_request&) = default;
 };
 
 /// All values of a state, to be written to a snapshot.
@@ -33,8 +36,13 @@
     core::department_id caller;
     core::request_id id;
     answered_request kept;
+
+    friend bool operator==(const request_image&,
+                           const request_image&) = default;
   };
   std::vector<request_image> requests;
+
+  friend bool operator==(const state_image&, const state_image&) = default;
 };
 
 /// The replicated state of a cell. Apply is deterministic: the same commands
--- a/include/mangoplank/control/messages.h
+++ b/include/mangoplank/control/messages.h
@@ -251,6 +251,8 @@
 struct numbered_answer {
   std::uint64_t number = 0;
   core::outcome<answer> a{answer{}};
+  friend bool operator==(const numbered_answer&,
+                         const numbered_answer&) = default;
 };
 /// What a follower of the feed wants to hear.
 enum class topic : std::uint8_t {
--- /dev/null
+++ b/include/mangoplank/wire/codec.h
@@ -0,0 +1,55 @@
+#ifndef MANGOPLANK_WIRE_CODEC_H_
+#define MANGOPLANK_WIRE_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "mangoplank/cell/state.h"
+#include "mangoplank/consensus/messages.h"
+#include "mangoplank/control/messages.h"
+#include "mangoplank/core/failure.h"
+
+/// Encoding of values as Cap'n Proto messages. A decoder accepts any bytes: it
+/// returns the given failure for those that are not a message of its type, and
+/// takes memory in proportion to their size (see kMemoryFactor).
+namespace mangoplank::wire {
+
+/// Bound of the memory of the lists of a decoded value, as a multiple of the
+/// size of its encoding. Valid messages stay below 20: a removed task takes
+/// 32 bytes in a message and the size of the largest alternative of
+/// cell::change, about 600 bytes, as a value.
+inline constexpr std::size_t kMemoryFactor = 32;
+
+std::string Encode(const cell::command& v);
+std::string Encode(const cell::state_image& v);
+std::string Encode(const consensus::message& v);
+std::string Encode(const consensus::membership& v);
+std::string Encode(const control::message& v);
+
+/// @return the failure of a message from a peer that can't be decoded.
+inline core::failure Malformed(std::string peer = {}) {
+  using core::connection_failed;
+  return connection_failed{connection_failed::kind::kMalformed,
+                           std::move(peer)};
+}
+
+/// @param malformed failure for bytes that are not a command; storage_failed
+/// with kCorrupt where they come from a file.
+core::result<cell::command> DecodeCommand(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+/// @param malformed as for DecodeCommand.
+core::result<cell::state_image> DecodeStateImage(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+/// @param malformed as for DecodeCommand.
+core::result<consensus::membership> DecodeMembership(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+/// @param malformed as for DecodeCommand.
+core::result<consensus::message> DecodeConsensusMessage(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+/// @param malformed as for DecodeCommand.
+core::result<control::message> DecodeControlMessage(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+
+}  // namespace mangoplank::wire
+
+#endif  // MANGOPLANK_WIRE_CODEC_H_
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,113 @@
+#include "mangoplank/wire/codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <cstring>
+#include <exception>
+
+#include "wire/convert.h"
+
+namespace mangoplank::wire {
+
+namespace {
+
+/// Words of a first segment that holds most messages.
+constexpr unsigned kFirstSegmentWords = 256;
+/// Each part of a message is read once, but for the few accessors that are
+/// called twice.
+constexpr std::uint64_t kTraversalFactor = 4;
+/// Room for small messages.
+constexpr std::uint64_t kSpareWords = 64;
+
+template <class Schema, class T>
+std::string EncodeAs(const T& value) {
+  capnp::MallocMessageBuilder builder(kFirstSegmentWords);
+  Write(value, builder.initRoot<Schema>());
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+/// Copies to words, as a message must be aligned to them.
+kj::Array<capnp::word> ToWords(std::string_view bytes) {
+  KJ_REQUIRE(bytes.size() % sizeof(capnp::word) == 0, "size of a message");
+  auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+  if (!bytes.empty()) std::memcpy(words.begin(), bytes.data(), bytes.size());
+  return words;
+}
+
+template <class Schema, class T>
+T ReadAs(std::string_view bytes) {
+  const auto words = ToWords(bytes);
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kTraversalFactor * words.size() + kSpareWords;
+  capnp::FlatArrayMessageReader reader(words, options);
+  KJ_REQUIRE(reader.getEnd() == words.end(), "bytes after the message");
+  budget left(kMemoryFactor * bytes.size());
+  T value;
+  Read(reader.getRoot<Schema>(), value, left);
+  return value;
+}
+
+template <class Schema, class T>
+core::result<T> DecodeAs(std::string_view bytes,
+                         const core::failure& malformed) {
+  try {
+    return ReadAs<Schema, T>(bytes);
+  } catch (const kj::Exception&) {
+    return core::Fail(malformed);
+  } catch (const std::exception&) {
+    return core::Fail(malformed);
+  }
+}
+
+}  // namespace
+
+std::string Encode(const cell::command& v) {
+  return EncodeAs<schema::Command>(v);
+}
+
+std::string Encode(const cell::state_image& v) {
+  return EncodeAs<schema::StateImage>(v);
+}
+
+std::string Encode(const consensus::message& v) {
+  return EncodeAs<schema::ConsensusMessage>(v);
+}
+
+std::string Encode(const consensus::membership& v) {
+  return EncodeAs<schema::Membership>(v);
+}
+
+std::string Encode(const control::message& v) {
+  return EncodeAs<schema::ControlMessage>(v);
+}
+
+core::result<cell::command> DecodeCommand(std::string_view bytes,
+                                          const core::failure& malformed) {
+  return DecodeAs<schema::Command, cell::command>(bytes, malformed);
+}
+
+core::result<cell::state_image> DecodeStateImage(
+    std::string_view bytes, const core::failure& malformed) {
+  return DecodeAs<schema::StateImage, cell::state_image>(bytes, malformed);
+}
+
+core::result<consensus::membership> DecodeMembership(
+    std::string_view bytes, const core::failure& malformed) {
+  return DecodeAs<schema::Membership, consensus::membership>(bytes, malformed);
+}
+
+core::result<consensus::message> DecodeConsensusMessage(
+    std::string_view bytes, const core::failure& malformed) {
+  return DecodeAs<schema::ConsensusMessage, consensus::message>(bytes,
+                                                                malformed);
+}
+
+core::result<control::message> DecodeControlMessage(
+    std::string_view bytes, const core::failure& malformed) {
+  return DecodeAs<schema::ControlMessage, control::message>(bytes, malformed);
+}
+
+}  // namespace mangoplank::wire
