--- a/src/cell/apply_tasks.cpp
+++ b/src/cell/apply_tasks.cpp
@@ -167,7 +167,10 @@
     s_.objects_[key] = o;
     changes_.push_back(object_changed{o});
   }
-  w.drain = declared && std::get<worker_spec>(declared->spec).drain;
+  // A worker that says it is leaving drains without an operator's word.
+  const bool declared_drain =
+      declared && std::get<worker_spec>(declared->spec).drain;
+  w.drain = w.drain || declared_drain;
   s_.workers_[w.id] = w;
   changes_.push_back(worker_changed{w});
   return Accepted();
--- a/src/membership/lease_table.cpp
+++ b/src/membership/lease_table.cpp
@@ -94,7 +94,12 @@
   const cell::worker_record* const known = s.FindWorker(a.worker.id);
   if (!known) return needs_registration{{a.worker}};
   if (a.worker.incarnation < known->incarnation) return superseded{};
-  if (SameAnnouncedFacts(*known, a.worker)) return admitted{};
+  cell::register_worker registration{a.worker};
+  registration.worker.drain = a.leaving;
+  const bool starts_leaving = a.leaving && !known->drain;
+  if (SameAnnouncedFacts(*known, a.worker) && !starts_leaving) {
+    return admitted{};
+  }
   const auto held = leases_.find(a.worker.id);
   const bool other_vm = known->address != a.worker.address;
   // A restart keeps its address and proves that the old process is gone;
@@ -104,7 +109,7 @@
         std::chrono::duration_cast<core::milliseconds>(held->second.end - now);
     return name_in_use{left};
   }
-  return needs_registration{{a.worker}};
+  return needs_registration{registration};
 }
 
 void lease_table::Renew(const control::announcement& a,
--- a/src/wire/convert_membership.cpp
+++ b/src/wire/convert_membership.cpp
@@ -160,6 +160,7 @@
 void Write(const control::slot_grants& v, schema::SlotGrants::Builder b) {
   b.setTerm(v.t);
   b.setSequence(v.sequence);
+  b.setReport(v.report);
   b.setLeaseMs(v.lease.count());
   WriteList(v.grants, b.initGrants(v.grants.size()));
 }
@@ -167,6 +168,7 @@
 void Read(schema::SlotGrants::Reader r, control::slot_grants& v, budget& left) {
   v.t = r.getTerm();
   v.sequence = r.getSequence();
+  v.report = r.getReport();
   v.lease = core::milliseconds(r.getLeaseMs());
   ReadList(r.getGrants(), v.grants, left);
 }
@@ -174,12 +176,16 @@
 void Write(const control::slot_report& v, schema::SlotReport::Builder b) {
   b.setTerm(v.t);
   b.setKeptSequence(v.kept_sequence);
+  b.setNumber(v.number);
+  WriteList(v.held, b.initHeld(v.held.size()));
   WriteList(v.demand, b.initDemand(v.demand.size()));
 }
 
 void Read(schema::SlotReport::Reader r, control::slot_report& v, budget& left) {
   v.t = r.getTerm();
   v.kept_sequence = r.getKeptSequence();
+  v.number = r.getNumber();
+  ReadList(r.getHeld(), v.held, left);
   ReadList(r.getDemand(), v.demand, left);
 }
 
