Entry server of the control process

Cause: entries need requests, announcements, slot reports and feeds served. Change: one task for each connection, one for each feed with progress marks and a window, goodbye with staggered delays at a stop. Measured: not run yet; it is joined to real connections next. Conclusion: the link is an interface, so that tests need no sockets.

--- /dev/null
+++ b/include/mangoplank/control/entry_server.h
@@ -0,0 +1,61 @@
+#ifndef MANGOPLANK_CONTROL_ENTRY_SERVER_H_
+#define MANGOPLANK_CONTROL_ENTRY_SERVER_H_
+
+#include <memory>
+
+#include "mangoplank/control/leader.h"
+#include "mangoplank/control/machine.h"
+#include "mangoplank/control/messages.h"
+#include "mangoplank/distribution/history.h"
+
+namespace mangoplank::control {
+
+/// A connection to an entry.
+class entry_link {
+ public:
+  virtual ~entry_link() = default;
+  /// Queues a message, bounded in bytes; a reader that is too slow is cut off.
+  virtual void Post(message m) = 0;
+  /// @return the next message, or connection_failed at the end.
+  virtual core::awaitable<core::outcome<message>> Receive() = 0;
+  /// @return bytes that wait to be sent.
+  virtual std::size_t QueuedBytes() const = 0;
+  virtual void Close() = 0;
+};
+
+struct entry_server_settings {
+  core::cell_id cell;
+  /// Interval of progress marks without changes.
+  core::milliseconds progress_interval{500};
+  /// A feed sends no more while this much waits to be sent.
+  std::size_t feed_window_bytes = 1024 * 1024;
+  /// Requests of one entry that are handled at once.
+  std::size_t max_requests = 1024;
+  /// Entries reconnect one after another in steps of this after a stop, so
+  /// that they do not all come at once (draft-ietf-dnssd-push-07, 6.6).
+  core::milliseconds reconnect_step{100};
+};
+
+/// Serves entries: requests, announcements, slot reports and feeds.
+class entry_server {
+ public:
+  entry_server(entry_server_settings settings,
+               boost::asio::any_io_executor executor, core::clock& clock,
+               machine& machine, consensus::node& node, leader& leader,
+               const distribution::history& history);
+  ~entry_server();
+
+  /// Serves one connection until it ends; one task for each.
+  core::awaitable<void> Serve(std::shared_ptr<entry_link> link);
+
+  /// Tells each entry when to come back and closes the connections.
+  void Stop();
+
+ private:
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace mangoplank::control
+
+#endif  // MANGOPLANK_CONTROL_ENTRY_SERVER_H_
