--- a/include/mangoplank/consensus/interfaces.h
+++ b/include/mangoplank/consensus/interfaces.h
@@ -1,6 +1,8 @@
 #ifndef MANGOPLANK_CONSENSUS_INTERFACES_H_
 #define MANGOPLANK_CONSENSUS_INTERFACES_H_
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,6 +70,7 @@
                                      std::string_view data) = 0;
   virtual core::result<void> Truncate(const std::string& name,
                                       std::uint64_t size) = 0;
+  /// Removes a file; durable on return.
   virtual core::result<void> Remove(const std::string& name) = 0;
 };
 
--- a/include/mangoplank/consensus/messages.h
+++ b/include/mangoplank/consensus/messages.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPLANK_CONSENSUS_MESSAGES_H_
 #define MANGOPLANK_CONSENSUS_MESSAGES_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -65,6 +66,8 @@
   core::term t = 0;
   bool granted = false;
   bool pre = false;
+  /// Disk of the voter; a vote under another identity does not count.
+  std::uint64_t disk = 0;
 
   friend bool operator==(const vote_reply&, const vote_reply&) = default;
 };
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -86,6 +86,11 @@
 }
 
 struct event::waiter {
+  // Boost 1.81 recurses without end in the move assignment of a handler, so it
+  // is only ever constructed.
+  explicit waiter(asio::any_completion_handler<void(bool)> h)
+      : handler(std::move(h)) {}
+
   asio::any_completion_handler<void(bool)> handler;
   clock::timer_id timer = 0;
 };
@@ -110,8 +115,7 @@
   co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
                                           void(bool)>(
       [this, deadline](auto handler) {
-        auto w = std::make_shared<waiter>();
-        w->handler = std::move(handler);
+        auto w = std::make_shared<waiter>(std::move(handler));
         if (deadline != time_point::max()) {
           w->timer = clock_.CallAt(deadline, [this, w] {
             std::erase(waiters_, w);
