Codec: fields that were added to tasks and slot reports

Cause: cell::task_record, control::slot_grants and control::slot_report got fields while the codec was written.

Change: evicting, report, number and held are in the schemas and conversions.

Conclusion: none of the fields is lost on the way.

--- a/src/wire/cell.capnp
+++ b/src/wire/cell.capnp
@@ -182,6 +182,7 @@
   generation @9 :UInt64;
   since @10 :Int64;
   detail @11 :Text;
+  evicting @12 :Bool;
 }
 
 struct JobStatus {
--- a/src/wire/cell.capnp.h
+++ b/src/wire/cell.capnp.h
@@ -3216,6 +3216,8 @@
   inline bool hasDetail() const;
   inline  ::capnp::Text::Reader getDetail() const;
 
+  inline bool getEvicting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3300,6 +3302,9 @@
   inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDetail();
 
+  inline bool getEvicting();
+  inline void setEvicting(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8363,6 +8368,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool TaskRecord::Reader::getEvicting() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool TaskRecord::Builder::getEvicting() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void TaskRecord::Builder::setEvicting(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t JobStatus::Reader::getWaiting() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/wire/control.capnp
+++ b/src/wire/control.capnp
@@ -77,12 +77,15 @@
   sequence @1 :UInt64;
   leaseMs @2 :Int64;
   grants @3 :List(SlotGrant);
+  report @4 :UInt64;
 }
 
 struct SlotReport {
   term @0 :UInt64;
   keptSequence @1 :UInt64;
   demand @2 :List(SlotDemand);
+  number @3 :UInt64;
+  held @4 :List(SlotGrant);
 }
 
 struct ProposeRequest {
--- a/src/wire/control.capnp.h
+++ b/src/wire/control.capnp.h
@@ -203,7 +203,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e55717b72cc9316d, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e55717b72cc9316d, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -218,7 +218,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2faa8a8d179babc, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c2faa8a8d179babc, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1496,6 +1496,8 @@
   inline bool hasGrants() const;
   inline  ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
 
+  inline  ::uint64_t getReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1540,6 +1542,9 @@
   inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>> disownGrants();
 
+  inline  ::uint64_t getReport();
+  inline void setReport( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1590,6 +1595,11 @@
   inline bool hasDemand() const;
   inline  ::capnp::List< ::mangoplank::wire::schema::SlotDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Reader getHeld() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1631,6 +1641,16 @@
   inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotDemand,  ::capnp::Kind::STRUCT>> disownDemand();
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasHeld();
+  inline  ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>> disownHeld();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4729,6 +4749,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t SlotGrants::Reader::getReport() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotGrants::Builder::getReport() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SlotGrants::Builder::setReport( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SlotReport::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4791,6 +4825,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t SlotReport::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotReport::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotReport::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Reader SlotReport::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setHeld( ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>> SlotReport::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SlotGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool ProposeRequest::Reader::hasCommand() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/wire/convert_membership.cpp
+++ b/src/wire/convert_membership.cpp
@@ -160,6 +160,7 @@
 void Write(const control::slot_grants& v, schema::SlotGrants::Builder b) {
   b.setTerm(v.t);
   b.setSequence(v.sequence);
+  b.setReport(v.report);
   b.setLeaseMs(v.lease.count());
   WriteList(v.grants, b.initGrants(v.grants.size()));
 }
@@ -167,20 +168,25 @@
 void Read(schema::SlotGrants::Reader r, control::slot_grants& v, budget& left) {
   v.t = r.getTerm();
   v.sequence = r.getSequence();
+  v.report = r.getReport();
   v.lease = core::milliseconds(r.getLeaseMs());
   ReadList(r.getGrants(), v.grants, left);
 }
 
 void Write(const control::slot_report& v, schema::SlotReport::Builder b) {
+  b.setNumber(v.number);
   b.setTerm(v.t);
   b.setKeptSequence(v.kept_sequence);
   WriteList(v.demand, b.initDemand(v.demand.size()));
+  WriteList(v.held, b.initHeld(v.held.size()));
 }
 
 void Read(schema::SlotReport::Reader r, control::slot_report& v, budget& left) {
+  v.number = r.getNumber();
   v.t = r.getTerm();
   v.kept_sequence = r.getKeptSequence();
   ReadList(r.getDemand(), v.demand, left);
+  ReadList(r.getHeld(), v.held, left);
 }
 
 }  // namespace mangoplank::wire
--- a/src/wire/convert_objects.cpp
+++ b/src/wire/convert_objects.cpp
@@ -250,6 +250,7 @@
   Write(v.need, b.initNeed());
   b.setPhase(Number(v.phase));
   b.setStopping(v.stopping);
+  b.setEvicting(v.evicting);
   b.setAttempt(v.attempt);
   b.setFailures(v.failures);
   b.setWorker(Text(v.worker.v));
@@ -265,6 +266,7 @@
   Read(r.getNeed(), v.need, left);
   v.phase = Enumerator(r.getPhase(), cell::task_phase::kUnknown);
   v.stopping = r.getStopping();
+  v.evicting = r.getEvicting();
   v.attempt = r.getAttempt();
   v.failures = r.getFailures();
   v.worker.v = String(r.getWorker());
