--- a/src/wire/convert_membership.cpp
+++ b/src/wire/convert_membership.cpp
@@ -177,8 +177,6 @@
   b.setNumber(v.number);
   b.setTerm(v.t);
   b.setKeptSequence(v.kept_sequence);
-  b.setNumber(v.number);
-  WriteList(v.held, b.initHeld(v.held.size()));
   WriteList(v.demand, b.initDemand(v.demand.size()));
   WriteList(v.held, b.initHeld(v.held.size()));
 }
@@ -187,8 +185,6 @@
   v.number = r.getNumber();
   v.t = r.getTerm();
   v.kept_sequence = r.getKeptSequence();
-  v.number = r.getNumber();
-  ReadList(r.getHeld(), v.held, left);
   ReadList(r.getDemand(), v.demand, left);
   ReadList(r.getHeld(), v.held, left);
 }
