--- /dev/null
+++ b/src/consensus/local_disk.cpp
@@ -0,0 +1,235 @@
+#include "mangoplank/consensus/local_disk.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+namespace mangoplank::consensus {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using kind = core::storage_failed::kind;
+
+constexpr char kTemporaryName[] = "replacement.tmp";
+
+boost::leaf::error_id Fail(kind k, const std::string& path, int error) {
+  const bool full = error == ENOSPC || error == EDQUOT;
+  return core::Fail(core::storage_failed{
+      full ? kind::kFull : k, path, std::generic_category().message(error)});
+}
+
+}  // namespace
+
+/// An open file.
+class local_disk::descriptor {
+ public:
+  descriptor(std::string path, int flags)
+      : path_(std::move(path)),
+        fd_(::open(path_.c_str(), flags | O_CLOEXEC, 0640)) {}
+  ~descriptor() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  descriptor(const descriptor&) = delete;
+  descriptor& operator=(const descriptor&) = delete;
+
+  core::result<void> Check() const {
+    if (fd_ < 0) return Fail(kind::kIo, path_, errno);
+    return {};
+  }
+  core::result<void> Write(std::string_view data) {
+    while (!data.empty()) {
+      const ssize_t n = ::write(fd_, data.data(), data.size());
+      if (n < 0 && errno == EINTR) continue;
+      if (n < 0) return Fail(kind::kIo, path_, errno);
+      data.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return {};
+  }
+  core::result<std::string> ReadAll() {
+    struct stat info {};
+    if (::fstat(fd_, &info) != 0) return Fail(kind::kIo, path_, errno);
+    std::string out(static_cast<std::size_t>(info.st_size), '\0');
+    std::size_t got = 0;
+    while (got < out.size()) {
+      const ssize_t n = ::read(fd_, out.data() + got, out.size() - got);
+      if (n < 0 && errno == EINTR) continue;
+      if (n < 0) return Fail(kind::kIo, path_, errno);
+      if (n == 0) break;
+      got += static_cast<std::size_t>(n);
+    }
+    out.resize(got);
+    return out;
+  }
+  /// Writes the data, and the size that is needed to read it back.
+  core::result<void> SyncData() {
+    if (::fdatasync(fd_) != 0) return Fail(kind::kSync, path_, errno);
+    return {};
+  }
+  core::result<void> SyncAll() {
+    if (::fsync(fd_) != 0) return Fail(kind::kSync, path_, errno);
+    return {};
+  }
+  core::result<void> Resize(std::uint64_t size) {
+    const int r = ::ftruncate(fd_, static_cast<off_t>(size));
+    if (r != 0) return Fail(kind::kIo, path_, errno);
+    return {};
+  }
+
+ private:
+  std::string path_;
+  int fd_;
+};
+
+local_disk::local_disk(std::string folder) : folder_(std::move(folder)) {}
+
+local_disk::~local_disk() = default;
+
+std::string local_disk::Path(const std::string& name) const {
+  return folder_ + "/" + name;
+}
+
+core::result<void> local_disk::MakeFolder() {
+  if (::mkdir(folder_.c_str(), 0750) != 0) {
+    if (errno == EEXIST) return {};
+    return Fail(kind::kIo, folder_, errno);
+  }
+  const std::size_t slash = folder_.find_last_of('/');
+  const std::string parent =
+      slash == std::string::npos ? "." : folder_.substr(0, slash + 1);
+  descriptor d(parent, O_RDONLY | O_DIRECTORY);
+  BOOST_LEAF_CHECK(d.Check());
+  return d.SyncAll();
+}
+
+core::result<void> local_disk::SyncFolder() {
+  descriptor d(folder_, O_RDONLY | O_DIRECTORY);
+  BOOST_LEAF_CHECK(d.Check());
+  return d.SyncAll();
+}
+
+core::result<std::vector<std::string>> local_disk::List() {
+  std::vector<std::string> names;
+  DIR* d = ::opendir(folder_.c_str());
+  if (d == nullptr && errno == ENOENT) return names;
+  if (d == nullptr) return Fail(kind::kIo, folder_, errno);
+  while (const dirent* e = ::readdir(d)) {
+    const std::string name = e->d_name;
+    if (name != "." && name != "..") names.push_back(name);
+  }
+  ::closedir(d);
+  return names;
+}
+
+core::result<std::string> local_disk::Read(const std::string& name) {
+  descriptor d(Path(name), O_RDONLY);
+  BOOST_LEAF_CHECK(d.Check());
+  return d.ReadAll();
+}
+
+core::result<void> local_disk::OpenForAppend(const std::string& name) {
+  if (open_ && open_name_ == name) return {};
+  BOOST_LEAF_CHECK(MakeFolder());
+  open_ =
+      std::make_unique<descriptor>(Path(name), O_WRONLY | O_APPEND | O_CREAT);
+  open_name_ = name;
+  entry_unsynced_ = true;
+  auto checked = open_->Check();
+  if (!checked) open_.reset();
+  return checked;
+}
+
+core::result<void> local_disk::Append(const std::string& name,
+                                      std::string_view data) {
+  BOOST_LEAF_CHECK(OpenForAppend(name));
+  return open_->Write(data);
+}
+
+core::result<void> local_disk::Sync(const std::string& name) {
+  BOOST_LEAF_CHECK(OpenForAppend(name));
+  BOOST_LEAF_CHECK(open_->SyncData());
+  if (!std::exchange(entry_unsynced_, false)) return {};
+  return SyncFolder();
+}
+
+core::result<void> local_disk::Replace(const std::string& name,
+                                       std::string_view data) {
+  BOOST_LEAF_CHECK(MakeFolder());
+  {
+    descriptor d(Path(kTemporaryName), O_WRONLY | O_CREAT | O_TRUNC);
+    BOOST_LEAF_CHECK(d.Check());
+    BOOST_LEAF_CHECK(d.Write(data));
+    BOOST_LEAF_CHECK(d.SyncAll());
+  }
+  const std::string from = Path(kTemporaryName);
+  if (::rename(from.c_str(), Path(name).c_str()) != 0) {
+    return Fail(kind::kIo, Path(name), errno);
+  }
+  return SyncFolder();
+}
+
+core::result<void> local_disk::Truncate(const std::string& name,
+                                        std::uint64_t size) {
+  descriptor d(Path(name), O_WRONLY);
+  BOOST_LEAF_CHECK(d.Check());
+  return d.Resize(size);
+}
+
+core::result<void> local_disk::Remove(const std::string& name) {
+  if (open_name_ == name) {
+    open_.reset();
+    open_name_.clear();
+  }
+  if (::unlink(Path(name).c_str()) != 0) {
+    return Fail(kind::kIo, Path(name), errno);
+  }
+  return SyncFolder();
+}
+
+struct thread_runner::impl {
+  asio::thread_pool pool{1};
+};
+
+thread_runner::thread_runner() : impl_(std::make_unique<impl>()) {}
+
+thread_runner::~thread_runner() {
+  impl_->pool.stop();
+  impl_->pool.join();
+}
+
+core::awaitable<core::outcome<void>> thread_runner::Run(
+    std::function<core::result<void>()> work) {
+  const auto home = co_await asio::this_coro::executor;
+  const auto done = std::make_shared<core::outcome<void>>();
+  co_await asio::async_initiate<const asio::use_awaitable_t<>, void()>(
+      [this, home, done, work = std::move(work)](auto handler) mutable {
+        // Keeps the executor running while the work is on the other thread.
+        auto guard = asio::make_work_guard(home);
+        asio::post(impl_->pool, [home, done, work = std::move(work),
+                                 guard = std::move(guard),
+                                 handler = std::move(handler)]() mutable {
+          *done = core::Capture(work);
+          // What the work refers to must not end on this thread.
+          work = nullptr;
+          asio::post(home, [handler = std::move(handler)]() mutable {
+            std::move(handler)();
+          });
+        });
+      },
+      asio::use_awaitable);
+  co_return *done;
+}
+
+}  // namespace mangoplank::consensus
--- a/src/wire/consensus.capnp
+++ b/src/wire/consensus.capnp
@@ -39,6 +39,7 @@
   term @0 :UInt64;
   granted @1 :Bool;
   pre @2 :Bool;
+  disk @3 :UInt64;
 }
 
 struct AppendRequest {
--- a/src/wire/consensus.capnp.h
+++ b/src/wire/consensus.capnp.h
@@ -106,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3b012104f233c40, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b3b012104f233c40, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -647,6 +647,8 @@
 
   inline bool getPre() const;
 
+  inline  ::uint64_t getDisk() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -684,6 +686,9 @@
   inline bool getPre();
   inline void setPre(bool value);
 
+  inline  ::uint64_t getDisk();
+  inline void setDisk( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1871,6 +1876,20 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t VoteReply::Reader::getDisk() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VoteReply::Builder::getDisk() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void VoteReply::Builder::setDisk( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AppendRequest::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/wire/convert_consensus.cpp
+++ b/src/wire/convert_consensus.cpp
@@ -71,10 +71,11 @@
   b.setTerm(v.t);
   b.setGranted(v.granted);
   b.setPre(v.pre);
+  b.setDisk(v.disk);
 }
 
 consensus::vote_reply ReadAlternative(schema::VoteReply::Reader r, budget&) {
-  return {r.getTerm(), r.getGranted(), r.getPre()};
+  return {r.getTerm(), r.getGranted(), r.getPre(), r.getDisk()};
 }
 
 void WriteAlternative(const consensus::append_request& v,
