--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -169,10 +169,10 @@
   std::vector<std::pair<core::revision, std::string>> applied;
   std::size_t restores = 0;
   bool leads = false;
+  /// Called with each command in the order of the log, also after a restore.
+  std::function<void(core::revision, const std::string&)> on_apply;
 
-  void Apply(const log_entry& e, bool) override {
-    applied.emplace_back(e.at, e.data);
-  }
+  void Apply(const log_entry& e, bool) override { Add(e.at, e.data); }
   std::string TakeSnapshot() override {
     byte_writer w;
     for (const auto& [at, data] : applied) {
@@ -186,11 +186,17 @@
     applied.clear();
     for (byte_reader r(data); !r.AtEnd();) {
       const core::revision at = r.U64();
-      applied.emplace_back(at, std::string(r.Bytes()));
+      Add(at, std::string(r.Bytes()));
     }
     return {};
   }
   void OnLeadership(bool l, core::term) override { leads = l; }
+
+ private:
+  void Add(core::revision at, std::string data) {
+    if (on_apply) on_apply(at, data);
+    applied.emplace_back(at, std::move(data));
+  }
 };
 
 /// One member with its disk. The node, its machine and its links end together.
@@ -216,6 +222,8 @@
   core::duration longest_sync = std::chrono::milliseconds(4);
   /// Largest difference of a clock's rate from the true one.
   double skew = 0;
+  /// Handed to each machine.
+  std::function<void(core::revision, const std::string&)> on_apply;
   /// Called after each step.
   std::function<void()> check = [] {};
 
@@ -248,6 +256,7 @@
     m.links = network.TransportOf(m.who.id);
     m.runner = std::make_shared<fake_runner>(clock, longest_sync, random());
     m.machine = std::make_shared<recording_machine>();
+    m.machine->on_apply = on_apply;
     node_settings s = base;
     s.self = m.who.id;
     m.n = std::make_unique<node>(s, context.get_executor(), *m.clock, *m.links,
