Placement: reclaim, gang reservations, worker health, index of room

Cause: the first version neither returned lent room to its owner nor told bad workers from bad jobs, and scored every worker for each task. Change: room lent above a quota is reclaimed by evictions whose room is pledged to the waiting task; one gang job at a time reserves workers and lends them to restartable work until it fits; quarantine and probes of workers, delays of jobs, a retry budget per department; P-square estimates of use steer away from workers that are too tight; cross-region placement waits for a priced time; workers are kept by class of free room in each region. The tests run on cell::state, so a placement that the state refuses is seen.

--- a/include/mangoplank/placement/policy.h
+++ b/include/mangoplank/placement/policy.h
@@ -64,6 +64,11 @@
   double history_weight = 0.5;
   /// A short task may pass tasks that arrived at most this much earlier.
   core::milliseconds max_run_time_credit{std::chrono::minutes(10)};
+  /// Time that a task of equal weights for waiting and control waits for room
+  /// in the region of its job before it goes to another one.
+  core::milliseconds cross_region_wait{std::chrono::seconds(5)};
+  /// Workers with enough to evict that are compared before one is chosen.
+  std::size_t reclaim_candidates = 16;
   /// Room freed by an eviction is held this long for the task it is meant for.
   core::milliseconds pledge_limit{std::chrono::seconds(15)};
   /// A gang job holds its reservation this long before the next one may try.
--- a/src/placement/decide.cpp
+++ b/src/placement/decide.cpp
@@ -69,6 +69,8 @@
   departments_.SetCapacity(pool_.Total());
   departments_.Advance(now);
   failed_queries_.clear();
+  evictions_ = 0;
+  ExpirePledges(now);
   while (!delayed_.empty() && delayed_.begin()->first <= now) {
     job* j = jobs_.Find(delayed_.begin()->second);
     delayed_.erase(delayed_.begin());
@@ -76,6 +78,7 @@
   }
   CheckJobs(now);
   ReplaceOutdated();
+  AdvanceReservation(now);
   for (const std::int32_t d : active_) {
     department& n = departments_.At(d);
     n.next = n.queue.begin();
@@ -160,6 +163,7 @@
   const attempt result = usable ? Try(j, now) : attempt::kBlocked;
   if (result == attempt::kNoRoom) ++n.misses;
   if (result != attempt::kPlaced && n.next == at) ++n.next;
+  if (j.waiting == 0) DropPledges(j);
   UpdateQueue(j, now);
   SetNext(d);
 }
@@ -179,6 +183,7 @@
   q.need = need;
   q.job = j.uid;
   q.region = j.region;
+  q.likely = estimates_.For(j.uid).value_or(need);
   q.lendable = std::holds_alternative<batch_work>(j.w) && j.Restartable();
   q.s = j.where.s;
   if (q.s == cell::spread::kNone && std::holds_alternative<service_work>(j.w)) {
@@ -197,29 +202,68 @@
   return q;
 }
 
+bool scheduler::impl::MayCross(const job& j, core::time_point now) const {
+  const auto* batch = std::get_if<batch_work>(&j.w);
+  if (batch == nullptr || j.u == cell::urgency::kUrgent) return true;
+  const auto waited =
+      std::chrono::duration<double>(now - j.waiting_since).count();
+  const auto price =
+      std::chrono::duration<double>(policy_.cross_region_wait).count();
+  return policy_.w.waiting * waited >= policy_.w.control * price;
+}
+
 bool scheduler::impl::FailedThisRound(const worker_query& q) const {
   return std::any_of(failed_queries_.begin(), failed_queries_.end(),
                      [&](const worker_query& f) {
-                       return f.region == q.region &&
+                       return (f.region == kNone || f.region == q.region) &&
                               f.lendable >= q.lendable && q.need.Holds(f.need);
                      });
 }
 
-scheduler::impl::attempt scheduler::impl::TryOne(job& j, core::time_point) {
+scheduler::impl::attempt scheduler::impl::TryOne(job& j, core::time_point now) {
   const auto index = FirstWaiting(j);
   if (!index) return attempt::kBlocked;
-  const worker_query q = QueryFor(j, j.tasks[*index].need);
-  if (FailedThisRound(q)) return attempt::kBlocked;
-  const std::int32_t w = pool_.Find(q);
+  double& tokens = departments_.At(j.department).retry_tokens;
+  const bool retry = j.tasks[*index].failures > 0;
+  if (retry && tokens < 1) return attempt::kBlocked;
+  worker_query q = QueryFor(j, j.tasks[*index].need);
+  if (q.home != kNone) q.may_cross = MayCross(j, now);
+  std::int32_t w = PledgedWorker(j, q);
+  if (w == kNone && TryProbe(j, *index, q, now)) return attempt::kPlaced;
+  const bool known = w == kNone && FailedThisRound(q);
+  if (w == kNone && !known) w = pool_.Find(q);
   if (w == kNone) {
-    failed_queries_.push_back(q);
-    return attempt::kNoRoom;
+    if (!known && q.may_cross) failed_queries_.push_back(q);
+    Reclaim(j, q.need, now);
+    return known ? attempt::kBlocked : attempt::kNoRoom;
   }
-  Promise(j, *index, w);
-  round_.decisions.emplace_back(place{{Placement(j, *index)}});
+  if (retry) tokens -= 1;
+  PlaceOne(j, *index, w);
   return attempt::kPlaced;
 }
 
+bool scheduler::impl::TryProbe(job& j, std::uint32_t index,
+                               const worker_query& q, core::time_point now) {
+  // A task that may run only once, or that fails anyway, tells nothing about
+  // the worker and may be lost.
+  const auto* batch = std::get_if<batch_work>(&j.w);
+  if (batch == nullptr || !batch->idempotent || !j.failed_on.empty()) {
+    return false;
+  }
+  const auto w = health_.ProbeFor(q, now);
+  if (!w) return false;
+  PlaceOne(j, index, *w);
+  j.tasks[index].probe = true;
+  health_.ProbeStarted(*w);
+  return true;
+}
+
+void scheduler::impl::PlaceOne(job& j, std::uint32_t index, std::int32_t w) {
+  DropPledge(j, w);
+  Promise(j, index, w);
+  round_.decisions.emplace_back(place{{Placement(j, index)}});
+}
+
 void scheduler::impl::Promise(job& j, std::uint32_t index, std::int32_t w) {
   Leave(j, index);
   j.tasks[index].generation = j.generation;
@@ -234,10 +278,8 @@
 
 scheduler::impl::attempt scheduler::impl::TryGang(job& j,
                                                   core::time_point now) {
-  const auto tasks = std::get<gang_work>(j.w).tasks;
-  if (static_cast<std::int64_t>(j.tasks.size()) < tasks) {
-    return attempt::kBlocked;
-  }
+  // A gang that lost a task waits until the others have stopped.
+  if (j.held + j.promised > 0) return attempt::kBlocked;
   std::vector<std::uint32_t> taken;
   bool filled = false;
   if (j.where.one_region && j.region == kNone && j.by_region.empty()) {
@@ -247,19 +289,23 @@
   } else {
     filled = FillGang(j, QueryFor(j, j.need).region, taken);
   }
-  if (!filled) return attempt::kNoRoom;
+  if (!filled) {
+    Reserve(j, now);
+    return attempt::kNoRoom;
+  }
+  if (reservation_ && reservation_->job == j.uid) EndReservation();
   place p;
   for (const std::uint32_t index : taken) {
     p.group.push_back(Placement(j, index));
   }
   round_.decisions.emplace_back(std::move(p));
-  UpdateQueue(j, now);
   return attempt::kPlaced;
 }
 
 bool scheduler::impl::FillGang(job& j, std::int32_t region,
                                std::vector<std::uint32_t>& taken) {
   taken.clear();
+  const core::time_point waiting_since = j.waiting_since;
   while (const auto index = FirstWaiting(j)) {
     worker_query q = QueryFor(j, j.tasks[*index].need);
     q.region = region;
@@ -271,7 +317,7 @@
   if (j.waiting == 0) return !taken.empty();
   for (const std::uint32_t index : taken) {
     Leave(j, index);
-    EnterWaiting(j, index, j.waiting_since);
+    EnterWaiting(j, index, waiting_since);
   }
   return false;
 }
@@ -288,29 +334,31 @@
     job* j = jobs_.Find(uid);
     if (j == nullptr || !j->declared) continue;
     const auto* service = std::get_if<service_work>(&j->w);
-    if (service == nullptr) continue;
-    std::int64_t up = 0;
-    for (const task_slot& t : j->tasks) {
-      if (t.state == slot_state::kHeld && t.running && !t.evicting) ++up;
-    }
-    std::int64_t may_stop =
-        std::max<std::int64_t>(1, service->max_unavailable) -
-        (service->replicas - up);
-    evict replaced{{}, false, evict_reason::kReplaced};
-    evict drained{{}, false, evict_reason::kDrained};
-    for (std::uint32_t i = 0; i < j->tasks.size(); ++i) {
-      task_slot& t = j->tasks[i];
-      if (!IsOutdated(*j, t)) continue;
-      // A replica that is not up yet is not missed.
-      if (t.running && may_stop <= 0) continue;
-      if (t.running) --may_stop;
-      SetEvicting(*j, t, true);
-      (t.generation < j->generation ? replaced : drained)
-          .tasks.push_back({uid, i});
-    }
-    if (!replaced.tasks.empty()) round_.decisions.emplace_back(replaced);
-    if (!drained.tasks.empty()) round_.decisions.emplace_back(drained);
+    if (service != nullptr) Replace(*j, *service);
+  }
+}
+
+void scheduler::impl::Replace(job& j, const service_work& service) {
+  std::int64_t up = 0;
+  for (const task_slot& t : j.tasks) {
+    up += t.state == slot_state::kHeld && t.running && !t.evicting;
+  }
+  const auto allowed = std::max<std::int64_t>(1, service.max_unavailable);
+  std::int64_t may_stop = allowed - (service.replicas - up);
+  evict replaced{{}, false, evict_reason::kReplaced};
+  evict drained{{}, false, evict_reason::kDrained};
+  for (std::uint32_t i = 0; i < j.tasks.size(); ++i) {
+    task_slot& t = j.tasks[i];
+    if (!IsOutdated(j, t)) continue;
+    // A replica that is not up yet is not missed.
+    if (t.running && may_stop <= 0) continue;
+    if (t.running) --may_stop;
+    SetEvicting(j, t, true);
+    (t.generation < j.generation ? replaced : drained)
+        .tasks.push_back({j.uid, i});
   }
+  if (!replaced.tasks.empty()) round_.decisions.emplace_back(replaced);
+  if (!drained.tasks.empty()) round_.decisions.emplace_back(drained);
 }
 
 }  // namespace mangoplank::placement
--- a/src/placement/department_tree.cpp
+++ b/src/placement/department_tree.cpp
@@ -175,10 +175,10 @@
   return true;
 }
 
-bool department_tree::IsBorrowed(std::int32_t d,
-                                 const core::resources& need) const {
+bool department_tree::IsBorrowed(std::int32_t d, const core::resources& need,
+                                 const core::resources& stopped) const {
   const department& n = nodes_[d];
-  return ExceedsAny(n.used - n.stopping, need, n.quota);
+  return ExceedsAny(n.used - n.stopping - stopped, need, n.quota);
 }
 
 void department_tree::SetClaim(std::int32_t d, claim c) {
--- a/src/placement/department_tree.h
+++ b/src/placement/department_tree.h
@@ -92,8 +92,10 @@
   /// @return whether `need` more stays within the quotas of `d` and of its
   /// ancestors that have one.
   bool WithinQuota(std::int32_t d, const core::resources& need) const;
-  /// @return whether a task of `d` that holds `need` uses borrowed room.
-  bool IsBorrowed(std::int32_t d, const core::resources& need) const;
+  /// @return whether a task of `d` that holds `need` uses borrowed room, once
+  /// other tasks that hold `stopped` have ended.
+  bool IsBorrowed(std::int32_t d, const core::resources& need,
+                  const core::resources& stopped = {}) const;
 
   void SetClaim(std::int32_t d, claim c);
   /// @return the department with claim `c` that is furthest below its share,
--- a/src/placement/job_table.cpp
+++ b/src/placement/job_table.cpp
@@ -97,6 +97,12 @@
   return std::nullopt;
 }
 
+void Shrink(job& j) {
+  j.tasks = {};
+  j.queue = {};
+  j.queue_head = 0;
+}
+
 void SetSpec(job& j, const cell::object& o, const policy& p) {
   core::milliseconds run_time{0};
   std::visit(core::overloaded{
--- a/src/placement/job_table.h
+++ b/src/placement/job_table.h
@@ -58,13 +58,19 @@
   bool evicting = false;
   /// Placed on room that another gang job waits for.
   bool lent = false;
+  /// Placed on a quarantined worker to examine it.
+  bool probe = false;
+  /// Urgency under which its room is counted.
+  cell::urgency u = cell::urgency::kNormal;
   std::int32_t worker = kNone;
+  std::int32_t rack = kNone;
+  std::int32_t region = kNone;
   std::uint32_t position = 0;
   std::uint32_t failures = 0;
   std::uint64_t generation = 0;
   core::resources need;
-  /// Urgency under which its room is counted.
-  cell::urgency u = cell::urgency::kNormal;
+  /// Held and not used, as last reported.
+  core::resources unused;
   core::wall_time_ms since = 0;
 };
 
@@ -88,10 +94,14 @@
   std::vector<shortage> shortages;
   /// Not placed before this time, after failures.
   core::time_point not_before{};
-  std::uint32_t failures_in_row = 0;
+  /// Delays since the last success.
+  std::uint32_t delays = 0;
   bool succeeded_once = false;
-  /// Distinct workers of the last failures, at most policy::bad_job_workers.
+  /// Distinct workers of the failures since the last success, at most
+  /// policy::bad_job_workers.
   std::vector<std::int32_t> failed_on;
+  /// A gang job that gave up a reservation does not make another before this.
+  core::time_point reserve_after{};
   /// Since when a task has waited.
   core::time_point waiting_since{};
 
@@ -139,6 +149,9 @@
 /// @return index of the oldest waiting task, without taking it.
 std::optional<std::uint32_t> FirstWaiting(job& j);
 
+/// Drops the tasks of a job of which none waits or is placed.
+void Shrink(job& j);
+
 /// Takes over what a spec says about placement. Other kinds change nothing.
 void SetSpec(job& j, const cell::object& o, const policy& p);
 
--- a/src/placement/observe.cpp
+++ b/src/placement/observe.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "scheduler_impl.h"
@@ -6,33 +7,28 @@
 
 namespace {
 
-bool Holds(cell::task_phase p) {
-  return p == cell::task_phase::kAssigned || p == cell::task_phase::kRunning;
-}
-
 bool IsWork(cell::object_kind k) {
   return k == cell::object_kind::kService ||
          k == cell::object_kind::kBatchJob || k == cell::object_kind::kGangJob;
 }
 
+core::resources AtLeastZero(const core::resources& r) {
+  return {std::max<std::int64_t>(0, r.cpu_milli),
+          std::max<std::int64_t>(0, r.memory_mib),
+          std::max<std::int64_t>(0, r.accelerators)};
+}
+
 }  // namespace
 
 scheduler::impl::impl(const policy& p, std::uint64_t seed)
-    : policy_(p), pool_(p, seed), departments_(p) {}
+    : policy_(p), pool_(p, seed), departments_(p), health_(p, pool_) {}
 
 void scheduler::impl::Observe(const cell::change& c, core::time_point now) {
   std::visit(
       core::overloaded{
           [&](const cell::object_changed& e) { OnObject(e.now, now); },
           [&](const cell::object_deleted& e) { OnObjectDeleted(e.key, now); },
-          [&](const cell::worker_changed& e) {
-            pool_.Set(e.now);
-            const std::int32_t w = pool_.IndexOf(e.now.id);
-            if (!e.now.drain) return;
-            for (const cell::task_id& t : pool_.At(w).tasks) {
-              outdated_.insert(t.job);
-            }
-          },
+          [&](const cell::worker_changed& e) { OnWorker(e.now, now); },
           [&](const cell::worker_removed& e) {
             pool_.Remove(e.id, e.incarnation);
           },
@@ -44,6 +40,28 @@
       c);
 }
 
+void scheduler::impl::OnWorker(const cell::worker_record& record,
+                               core::time_point now) {
+  const std::int32_t w = pool_.Intern(record.id);
+  const bool restarted = pool_.At(w).incarnation != record.incarnation;
+  pool_.Set(record);
+  if (restarted) health_.OnRestart(w, now);
+  const worker& n = pool_.At(w);
+  for (const cell::task_id& id : n.tasks) {
+    job& j = *jobs_.Find(id.job);
+    task_slot& t = j.tasks[id.index];
+    if (n.drain) outdated_.insert(id.job);
+    if (t.rack == n.rack && t.region == n.region) continue;
+    // The task was seen before the worker.
+    AddAt(j.by_rack, t.rack, -1);
+    AddAt(j.by_region, t.region, -1);
+    t.rack = n.rack;
+    t.region = n.region;
+    AddAt(j.by_rack, t.rack, 1);
+    AddAt(j.by_region, t.region, 1);
+  }
+}
+
 void scheduler::impl::OnObject(const cell::object& o, core::time_point now) {
   if (const auto* d = std::get_if<cell::department_spec>(&o.spec)) {
     departments_.Set({o.key.name}, *d);
@@ -59,7 +77,7 @@
   j.region = j.where.region ? pool_.InternRegion(*j.where.region) : kNone;
   if (generation != j.generation) {
     // A new spec gets a new chance.
-    j.failures_in_row = 0;
+    j.delays = 0;
     j.not_before = {};
     outdated_.insert(j.uid);
   }
@@ -82,43 +100,96 @@
   unsatisfiable_.erase(j.uid);
   unchecked_.erase(j.uid);
   outdated_.erase(j.uid);
-  UpdateQueue(j, now);
-  jobs_.EraseIfEmpty(j.uid);
+  Settle(j.uid, now);
 }
 
-task_slot& scheduler::impl::SlotOf(job& j, std::uint32_t index) {
-  if (j.tasks.size() <= index) j.tasks.resize(index + 1);
-  return j.tasks[index];
+void scheduler::impl::Settle(core::revision uid, core::time_point now) {
+  job* j = jobs_.Find(uid);
+  if (j == nullptr) return;
+  UpdateQueue(*j, now);
+  if (j->waiting == 0) DropPledges(*j);
+  if (j->waiting + j->promised + j->held > 0) return;
+  if (!std::holds_alternative<service_work>(j->w)) {
+    Shrink(*j);
+    estimates_.Forget(uid);
+  }
+  jobs_.EraseIfEmpty(uid);
+}
+
+task_slot* scheduler::impl::FindSlot(const cell::task_id& id) {
+  job* j = jobs_.Find(id.job);
+  if (j == nullptr || j->tasks.size() <= id.index) return nullptr;
+  return &j->tasks[id.index];
 }
 
 void scheduler::impl::OnTask(const cell::task_record& record,
                              core::time_point now) {
+  // Ended tasks that were never placed or waiting here are of no interest.
+  const bool ended = cell::IsFinal(record.phase);
+  if (ended && FindSlot(record.id) == nullptr) return;
   job& j = jobs_.Intern(record.id.job);
   if (j.department == kNone) {
     jobs_.Name(j, record.job);
     j.department = departments_.Intern(record.job.department);
   }
-  task_slot& t = SlotOf(j, record.id.index);
-  Leave(j, record.id.index);
+  const std::uint32_t index = record.id.index;
+  if (j.tasks.size() <= index) j.tasks.resize(index + 1);
+  task_slot& t = j.tasks[index];
+  if (StaysHeld(j, t, record)) return;
+  const task_slot before = t;
+  Leave(j, index);
+  JudgeEnd(j, before, record, now);
   t.failures = record.failures;
   t.since = record.since;
+  t.generation = record.generation;
+  t.need = record.need;
   if (record.phase == cell::task_phase::kWaiting) {
-    t.need = record.need;
-    EnterWaiting(j, record.id.index, now);
-  } else if (Holds(record.phase)) {
-    EnterHeld(j, record.id.index, record);
+    EnterWaiting(j, index, now);
+  } else if (cell::HoldsResources(record.phase)) {
+    EnterHeld(j, index, record);
   }
-  UpdateQueue(j, now);
-  jobs_.EraseIfEmpty(record.id.job);
+  Settle(record.id.job, now);
+}
+
+void scheduler::impl::JudgeEnd(job& j, const task_slot& t,
+                               const cell::task_record& record,
+                               core::time_point now) {
+  if (t.state != slot_state::kHeld) return;
+  if (record.failures > t.failures) {
+    health_.OnFailure(j, t.worker, now);
+  } else if (record.phase == cell::task_phase::kSucceeded) {
+    health_.OnSuccess(j, t.worker);
+  } else if (t.probe) {
+    health_.OnProbeLost(t.worker, now);
+  }
+}
+
+// The common change from promised to assigned to running moves no room.
+bool scheduler::impl::StaysHeld(job& j, task_slot& t,
+                                const cell::task_record& record) {
+  const bool held =
+      t.state == slot_state::kPromised || t.state == slot_state::kHeld;
+  if (!held || !cell::HoldsResources(record.phase)) return false;
+  if (t.need != record.need || t.failures != record.failures) return false;
+  if (t.worker != pool_.IndexOf(record.worker)) return false;
+  if (t.state == slot_state::kPromised) {
+    t.state = slot_state::kHeld;
+    --j.promised;
+    ++j.held;
+  }
+  t.since = record.since;
+  t.generation = record.generation;
+  SetRunning(j, t, record.phase == cell::task_phase::kRunning);
+  if (record.stopping || record.evicting) SetEvicting(j, t, true);
+  if (IsOutdated(j, t)) outdated_.insert(j.uid);
+  return true;
 }
 
 void scheduler::impl::OnTaskRemoved(const cell::task_id& id,
                                     core::time_point now) {
-  job* j = jobs_.Find(id.job);
-  if (j == nullptr || j->tasks.size() <= id.index) return;
-  Leave(*j, id.index);
-  UpdateQueue(*j, now);
-  jobs_.EraseIfEmpty(id.job);
+  if (FindSlot(id) == nullptr) return;
+  Leave(*jobs_.Find(id.job), id.index);
+  Settle(id.job, now);
 }
 
 void scheduler::impl::Leave(job& j, std::uint32_t index) {
@@ -139,8 +210,7 @@
 
 void scheduler::impl::EnterWaiting(job& j, std::uint32_t index,
                                    core::time_point now) {
-  task_slot& t = j.tasks[index];
-  t.state = slot_state::kWaiting;
+  j.tasks[index].state = slot_state::kWaiting;
   if (j.waiting++ == 0) j.waiting_since = now;
   Enqueue(j, index);
 }
@@ -148,15 +218,18 @@
 void scheduler::impl::EnterHeld(job& j, std::uint32_t index,
                                 const cell::task_record& record) {
   task_slot& t = j.tasks[index];
-  t.need = record.need;
-  t.generation = record.generation;
   Hold(j, index, pool_.Intern(record.worker), slot_state::kHeld);
-  t.running = record.phase == cell::task_phase::kRunning;
-  if (t.running) ++j.running;
-  if (record.stopping) SetEvicting(j, t, true);
+  SetRunning(j, t, record.phase == cell::task_phase::kRunning);
+  if (record.stopping || record.evicting) SetEvicting(j, t, true);
   if (IsOutdated(j, t)) outdated_.insert(j.uid);
+}
+
+void scheduler::impl::SetRunning(job& j, task_slot& t, bool running) {
+  if (t.running == running) return;
+  t.running = running;
+  j.running += running ? 1 : -1;
   // A replica that came up may allow the next one to be replaced.
-  if (t.running && std::holds_alternative<service_work>(j.w)) {
+  if (running && std::holds_alternative<service_work>(j.w)) {
     outdated_.insert(j.uid);
   }
 }
@@ -164,36 +237,41 @@
 void scheduler::impl::Hold(job& j, std::uint32_t index, std::int32_t w,
                            slot_state state) {
   task_slot& t = j.tasks[index];
+  const worker& n = pool_.At(w);
   t.state = state;
   t.worker = w;
+  t.rack = n.rack;
+  t.region = n.region;
   t.u = j.u;
-  t.running = false;
-  pool_.Take(w, t.need);
-  departments_.Use(j.department, t.u, t.need);
+  t.lent = n.reserved_for != 0 && n.reserved_for != j.uid;
   auto& tasks = pool_.TasksOf(w);
   t.position = static_cast<std::uint32_t>(tasks.size());
   tasks.push_back({j.uid, index});
-  AddAt(j.by_rack, pool_.At(w).rack, 1);
-  AddAt(j.by_region, pool_.At(w).region, 1);
+  pool_.Take(w, t.need);
+  departments_.Use(j.department, t.u, t.need);
+  AddAt(j.by_rack, t.rack, 1);
+  AddAt(j.by_region, t.region, 1);
   ++(state == slot_state::kHeld ? j.held : j.promised);
 }
 
 void scheduler::impl::Release(job& j, std::uint32_t index) {
   task_slot& t = j.tasks[index];
   SetEvicting(j, t, false);
-  pool_.Give(t.worker, t.need);
-  departments_.Release(j.department, t.u, t.need);
+  SetRunning(j, t, false);
   auto& tasks = pool_.TasksOf(t.worker);
   const cell::task_id last = tasks.back();
   tasks[t.position] = last;
   jobs_.Find(last.job)->tasks[last.index].position = t.position;
   tasks.pop_back();
-  AddAt(j.by_rack, pool_.At(t.worker).rack, -1);
-  AddAt(j.by_region, pool_.At(t.worker).region, -1);
-  if (t.running) --j.running;
-  t.running = false;
-  t.lent = false;
+  pool_.AddUnused(t.worker, core::resources{} - t.unused);
+  pool_.Give(t.worker, t.need);
+  departments_.Release(j.department, t.u, t.need);
+  AddAt(j.by_rack, t.rack, -1);
+  AddAt(j.by_region, t.region, -1);
   --(t.state == slot_state::kHeld ? j.held : j.promised);
+  t.unused = {};
+  t.lent = false;
+  t.probe = false;
 }
 
 void scheduler::impl::SetEvicting(job& j, task_slot& t, bool evicting) {
@@ -229,25 +307,35 @@
   j.in_queue = true;
 }
 
+void scheduler::impl::ObserveUsage(const cell::task_id& id,
+                                   const core::resources& used) {
+  task_slot* t = FindSlot(id);
+  if (t == nullptr || t->state != slot_state::kHeld) return;
+  const core::resources unused = AtLeastZero(t->need - used);
+  pool_.AddUnused(t->worker, unused - t->unused);
+  t->unused = unused;
+  estimates_.Add(id.job, used);
+}
+
 void scheduler::impl::Forget(const decision& d, core::time_point now) {
   std::visit(core::overloaded{
                  [&](const place& p) {
-                   for (const cell::task_placement& t : p.group) {
-                     job* j = jobs_.Find(t.id.job);
-                     if (j == nullptr || j->tasks.size() <= t.id.index)
-                       continue;
-                     if (j->tasks[t.id.index].state != slot_state::kPromised)
+                   for (const cell::task_placement& placed : p.group) {
+                     task_slot* t = FindSlot(placed.id);
+                     if (t == nullptr || t->state != slot_state::kPromised)
                        continue;
-                     Leave(*j, t.id.index);
-                     EnterWaiting(*j, t.id.index, now);
-                     UpdateQueue(*j, now);
+                     job& j = *jobs_.Find(placed.id.job);
+                     if (t->probe) health_.OnProbeLost(t->worker, now);
+                     Leave(j, placed.id.index);
+                     EnterWaiting(j, placed.id.index, now);
+                     UpdateQueue(j, now);
                    }
                  },
                  [&](const evict& e) {
                    for (const cell::task_id& id : e.tasks) {
-                     job* j = jobs_.Find(id.job);
-                     if (j == nullptr || j->tasks.size() <= id.index) continue;
-                     SetEvicting(*j, j->tasks[id.index], false);
+                     task_slot* t = FindSlot(id);
+                     if (t == nullptr) continue;
+                     SetEvicting(*jobs_.Find(id.job), *t, false);
                      outdated_.insert(id.job);
                    }
                  },
--- a/src/placement/scheduler.cpp
+++ b/src/placement/scheduler.cpp
@@ -17,8 +17,10 @@
   impl_->Observe(c, now);
 }
 
-void scheduler::ObserveUsage(const cell::task_id&, core::resources,
-                             core::time_point) {}
+void scheduler::ObserveUsage(const cell::task_id& id, core::resources used,
+                             core::time_point) {
+  impl_->ObserveUsage(id, used);
+}
 
 round scheduler::Decide(core::time_point now) { return impl_->Decide(now); }
 
--- a/src/placement/scheduler_test.cpp
+++ b/src/placement/scheduler_test.cpp
@@ -45,7 +45,8 @@
 // Guards against new work on a worker that is leaving.
 TEST(SchedulerTest, DrainingWorkerGetsNothing) {
   test_cell c;
-  c.Worker("w1", kWorker, "r1", "k1", true);
+  c.Worker("w1", kWorker);
+  c.Drain("w1");
   c.Put("a", "one", Batch(1, kSmall));
   EXPECT_THAT(c.Decide().decisions, IsEmpty());
 }
@@ -59,7 +60,7 @@
   c.Step();
   c.Put("a", "gang", Gang(5, kSmall));
   EXPECT_THAT(c.Step().decisions, IsEmpty());
-  c.Phase({job, 0}, cell::task_phase::kSucceeded);
+  c.Report({job, 0}, cell::task_phase::kSucceeded);
   const round r = c.Step();
   ASSERT_THAT(r.decisions, SizeIs(1));
   EXPECT_THAT(std::get<place>(r.decisions[0]).group, SizeIs(5));
@@ -120,8 +121,8 @@
   c.Put("a", "web", Service(4, kSmall));
   c.Step();
   std::set<core::rack_id> racks;
-  for (const auto& [id, t] : c.tasks) {
-    racks.insert(c.workers.at(t.worker).where.rack);
+  for (const auto& [id, t] : c.state.Tasks()) {
+    racks.insert(c.state.FindWorker(t.worker)->where.rack);
   }
   EXPECT_THAT(racks, SizeIs(4));
 }
@@ -135,8 +136,8 @@
   const auto uid = c.Put("a", "web", spec);
   c.Step();
   ASSERT_EQ(c.Placed(uid), 5);
-  c.objects[uid].generation = 2;
-  c.Send(cell::object_changed{c.objects[uid]});
+  spec.program = "new";
+  c.Put("a", "web", spec);
   int evicted = 0;
   for (int i = 0; i < 10; ++i) {
     const round r = c.Decide();
@@ -147,7 +148,8 @@
         evicted += static_cast<int>(e->tasks.size());
       }
     }
-    c.CommitAll(r);
+    for (const decision& d : r.decisions) c.Commit(d);
+    c.RunAll();
     EXPECT_GE(c.Placed(uid), 3);
   }
   EXPECT_EQ(evicted, 5);
@@ -163,7 +165,7 @@
   const auto uid = c.Put("a", "one", Batch(5, kSmall));
   c.Step();
   int on_gpu = 0;
-  for (const auto& [id, t] : c.tasks) on_gpu += t.worker.v == "gpu";
+  for (const auto& [id, t] : c.state.Tasks()) on_gpu += t.worker.v == "gpu";
   EXPECT_EQ(c.Placed(uid), 5);
   EXPECT_EQ(on_gpu, 1);
 }
--- a/src/placement/test_cell.h
+++ b/src/placement/test_cell.h
@@ -2,12 +2,12 @@
 #define MANGOPLANK_PLACEMENT_TEST_CELL_H_
 
 #include <fmt/format.h>
+#include <gtest/gtest.h>
 
-#include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
+#include "mangoplank/cell/state.h"
 #include "mangoplank/placement/scheduler.h"
 
 namespace mangoplank::placement {
@@ -17,169 +17,129 @@
   return fmt::format("{}{}", prefix, i);
 }
 
-/// A small stand-in for the replicated state: keeps workers and tasks, turns
-/// decisions into changes and checks that they are possible.
+/// A scheduler beside the state it serves: commands are applied at once and
+/// their changes observed. Placements that the state refuses are counted.
 class test_cell {
  public:
-  explicit test_cell(policy p = {}, std::uint64_t seed = 1)
-      : policy_(p), s(p, seed) {}
+  explicit test_cell(const policy& p = {}, std::uint64_t seed = 1)
+      : s(p, seed) {}
+
+  /// Applies a command and shows its changes to the scheduler.
+  core::outcome<cell::accepted> Do(const cell::command_body& body) {
+    cell::command c;
+    c.at = WallNow();
+    c.body = body;
+    const cell::effect e = state.Apply(state.At() + 1, c);
+    for (const cell::change& one : e.changes) s.Observe(one, now);
+    return e.answer;
+  }
+
+  core::wall_time_ms WallNow() const {
+    return std::chrono::duration_cast<core::milliseconds>(
+               now.time_since_epoch())
+        .count();
+  }
 
   void Worker(const std::string& name, core::resources capacity,
               const std::string& region = "r1", const std::string& rack = "k1",
-              bool drain = false) {
+              core::incarnation incarnation = 1) {
     cell::worker_record w;
     w.id = {name};
-    w.incarnation = 1;
+    w.incarnation = incarnation;
     w.capacity = capacity;
     w.where = {{region}, {region + "-1"}, {rack}};
-    w.drain = drain;
-    workers[w.id] = w;
-    Send(cell::worker_changed{w});
+    EXPECT_TRUE(Do(cell::register_worker{w}));
   }
 
-  void Department(const std::string& name, std::int64_t weight,
-                  core::resources quota, const std::string& parent = "") {
+  void Drain(const std::string& name) {
+    const cell::object_key key{cell::object_kind::kWorker, {}, name};
+    EXPECT_TRUE(Do(cell::put_object{key, cell::worker_spec{true}}));
+  }
+
+  void Department(const std::string& name, std::int64_t weight = 1,
+                  core::resources quota = {}, const std::string& parent = "") {
     cell::department_spec d;
     d.weight = weight;
     d.quota = quota;
     d.parent = {parent};
-    cell::object o;
-    o.key = {cell::object_kind::kDepartment, {}, name};
-    o.spec = d;
-    Send(cell::object_changed{o});
+    const cell::object_key key{cell::object_kind::kDepartment, {}, name};
+    EXPECT_TRUE(Do(cell::put_object{key, d}));
   }
 
-  /// @return uid of the new object, whose tasks wait.
+  /// @return uid of the object, whose tasks wait.
   core::revision Put(const std::string& department, const std::string& name,
                      const cell::object_spec& spec) {
-    cell::object o;
-    o.uid = ++revision;
-    o.created = static_cast<core::wall_time_ms>(revision);
-    o.spec = spec;
-    std::int64_t tasks = 0;
-    core::resources need;
-    std::visit(core::overloaded{
-                   [&](const cell::service_spec& s) {
-                     o.key.k = cell::object_kind::kService;
-                     tasks = s.replicas;
-                     need = s.need;
-                   },
-                   [&](const cell::batch_job_spec& s) {
-                     o.key.k = cell::object_kind::kBatchJob;
-                     tasks = s.tasks;
-                     need = s.need;
-                   },
-                   [&](const cell::gang_job_spec& s) {
-                     o.key.k = cell::object_kind::kGangJob;
-                     tasks = s.tasks;
-                     need = s.need;
-                   },
-                   [](const auto&) {},
-               },
-               spec);
-    o.key.department = {department};
-    o.key.name = name;
-    objects[o.uid] = o;
-    Send(cell::object_changed{o});
-    for (std::int64_t i = 0; i < tasks; ++i) {
-      cell::task_record t;
-      t.id = {o.uid, static_cast<std::uint32_t>(i)};
-      t.job = o.key;
-      t.need = need;
-      Change(t);
+    const cell::object_key key{cell::KindOf(spec), {department}, name};
+    if (!state.Find({cell::object_kind::kDepartment, {}, department})) {
+      Department(department);
     }
-    return o.uid;
-  }
-
-  void Change(const cell::task_record& t) {
-    this->tasks[t.id] = t;
-    Send(cell::task_changed{t});
-  }
-
-  void Phase(const cell::task_id& id, cell::task_phase p) {
-    cell::task_record t = tasks.at(id);
-    t.phase = p;
-    Change(t);
+    const auto answer = Do(cell::put_object{key, spec});
+    EXPECT_TRUE(answer);
+    return answer ? answer->now->uid : 0;
   }
 
-  /// A start of the task failed; it waits again.
-  void Fail(const cell::task_id& id) {
-    cell::task_record t = tasks.at(id);
-    t.phase = cell::task_phase::kWaiting;
-    ++t.failures;
-    Change(t);
+  void Report(const cell::task_id& id, cell::task_phase phase) {
+    const cell::task_record* t = state.FindTask(id);
+    ASSERT_NE(t, nullptr);
+    Do(cell::report_tasks{{{id, t->attempt, phase, ""}}});
   }
 
-  /// Commits a placement as assigned and running.
-  void Commit(const place& p) {
-    for (const cell::task_placement& t : p.group) {
-      cell::task_record r = tasks.at(t.id);
-      r.phase = cell::task_phase::kAssigned;
-      r.worker = t.worker;
-      r.worker_incarnation = t.worker_incarnation;
-      r.generation = objects.at(t.id.job).generation;
-      ++r.attempt;
-      Change(r);
-    }
-    for (const cell::task_placement& t : p.group) {
-      Phase(t.id, cell::task_phase::kRunning);
-    }
-  }
-
-  void Commit(const evict& e) {
-    for (const cell::task_id& id : e.tasks) {
-      Phase(id, cell::task_phase::kWaiting);
+  /// Reports all assigned tasks as running, and evicted ones as stopped.
+  void RunAll() {
+    std::vector<cell::task_report> reports;
+    for (const auto& [id, t] : state.Tasks()) {
+      if (!cell::HoldsResources(t.phase)) continue;
+      const bool stops = t.evicting || t.stopping;
+      if (!stops && t.phase == cell::task_phase::kRunning) continue;
+      reports.push_back(
+          {id, t.attempt,
+           stops ? cell::task_phase::kStopped : cell::task_phase::kRunning,
+           ""});
     }
+    if (!reports.empty()) Do(cell::report_tasks{reports});
   }
 
-  void Commit(const unsatisfiable&) {}
-
-  void CommitAll(const round& r) {
-    for (const decision& d : r.decisions) {
-      std::visit([&](const auto& one) { Commit(one); }, d);
-    }
+  void Commit(const decision& d) {
+    std::visit(core::overloaded{
+                   [&](const place& p) {
+                     const auto a = Do(cell::place_tasks{{p.group}});
+                     const bool done = a && a->refused.empty();
+                     if (!done) s.Forget(d, now);
+                     refused += done ? 0 : 1;
+                   },
+                   [&](const evict& e) { Do(cell::evict_tasks{e.tasks}); },
+                   [](const unsatisfiable&) {},
+               },
+               d);
   }
 
   round Decide() { return s.Decide(now); }
 
-  /// Decides and commits once.
+  /// Decides and commits; the tasks run and evicted ones stop.
   round Step() {
     const round r = Decide();
-    CommitAll(r);
+    for (const decision& d : r.decisions) Commit(d);
+    RunAll();
     return r;
   }
 
-  /// @return what committed tasks hold of the worker.
-  core::resources Held(const core::worker_id& w) const {
-    core::resources sum;
-    for (const auto& [id, t] : tasks) {
-      if (!IsPlaced(t) || t.worker != w) continue;
-      sum = sum + t.need;
-    }
-    return sum;
-  }
-
   /// @return number of placed tasks of the job.
   std::int64_t Placed(core::revision job) const {
-    std::int64_t n = 0;
-    for (const auto& [id, t] : tasks) n += id.job == job && IsPlaced(t);
-    return n;
+    const cell::job_status status = state.StatusOf(job);
+    return status.assigned + status.running;
   }
 
-  static bool IsPlaced(const cell::task_record& t) {
-    return t.phase == cell::task_phase::kAssigned ||
-           t.phase == cell::task_phase::kRunning;
+  /// @return the worker of a placed task; empty if it is not placed.
+  std::string WorkerOf(const cell::task_id& id) const {
+    const cell::task_record* t = state.FindTask(id);
+    return t && cell::HoldsResources(t->phase) ? t->worker.v : "";
   }
 
-  void Send(const cell::change& c) { s.Observe(c, now); }
-
-  policy policy_;
   scheduler s;
+  cell::state state;
   core::time_point now{};
-  core::revision revision = 0;
-  std::map<core::worker_id, cell::worker_record> workers;
-  std::map<core::revision, cell::object> objects;
-  std::map<cell::task_id, cell::task_record> tasks;
+  /// Placements that the state did not accept.
+  int refused = 0;
 };
 
 inline cell::batch_job_spec Batch(std::int64_t tasks, core::resources need,
--- a/src/placement/worker_pool.cpp
+++ b/src/placement/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "worker_pool.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace mangoplank::placement {
@@ -15,6 +16,9 @@
 constexpr double kSpreadRegionCost = 1e3;
 constexpr double kSpreadRackCost = 10;
 constexpr double kCrossRegionCost = 5;
+constexpr double kLikelyOverrunCost = 3;
+// Restartable work gains this much from room that others hold and do not use.
+constexpr double kUnusedGain = 0.05;
 // Part of the room left over that counts besides its imbalance.
 constexpr double kLeftOver = 0.25;
 
@@ -120,6 +124,7 @@
   w.drain = record.drain;
   w.present = true;
   CountShape(w, 1);
+  Reindex(IndexOf(record.id));
 }
 
 void worker_pool::Remove(const core::worker_id& id,
@@ -135,10 +140,12 @@
   w.capacity = {};
   w.present = false;
   w.kept.reset();
+  Unindex(index);
 }
 
 void worker_pool::SetQuarantined(std::int32_t w, bool quarantined) {
   workers_[w].quarantined = quarantined;
+  Reindex(w);
 }
 
 void worker_pool::SetReserved(std::int32_t w, core::revision job) {
@@ -147,21 +154,64 @@
 
 void worker_pool::SetPledge(std::int32_t w, std::optional<pledge> kept) {
   workers_[w].kept = kept;
+  Reindex(w);
+}
+
+void worker_pool::AddUnused(std::int32_t w, const core::resources& amount) {
+  workers_[w].unused = workers_[w].unused + amount;
 }
 
 void worker_pool::Take(std::int32_t w, const core::resources& need) {
   workers_[w].free = workers_[w].free - need;
+  Reindex(w);
 }
 
 void worker_pool::Give(std::int32_t w, const core::resources& need) {
   workers_[w].free = workers_[w].free + need;
+  Reindex(w);
+}
+
+std::int32_t worker_pool::PoolOf(const worker& w) {
+  const bool accelerators = w.capacity.accelerators > 0;
+  for (std::size_t i = 0; i < pools_.size(); ++i) {
+    if (pools_[i].region == w.region &&
+        pools_[i].accelerators == accelerators) {
+      return static_cast<std::int32_t>(i);
+    }
+  }
+  pools_.push_back({w.region, accelerators, {}});
+  return static_cast<std::int32_t>(pools_.size() - 1);
+}
+
+void worker_pool::Unindex(std::int32_t w) {
+  worker& n = workers_[w];
+  if (n.pool == kNone) return;
+  const std::int32_t moved = pools_[n.pool].rooms.Remove(n.at);
+  if (moved != kNone) workers_[moved].at.position = n.at.position;
+  n.pool = kNone;
+}
+
+void worker_pool::Reindex(std::int32_t w) {
+  worker& n = workers_[w];
+  if (!n.present || n.drain || n.quarantined) {
+    Unindex(w);
+    return;
+  }
+  const std::int32_t pool = PoolOf(n);
+  const std::int32_t bucket =
+      room_buckets::BucketOf(n.Open(), pools_[pool].accelerators);
+  if (n.pool == pool && n.at.bucket == bucket) return;
+  Unindex(w);
+  n.pool = pool;
+  n.at = pools_[pool].rooms.Insert(w, bucket);
 }
 
 bool worker_pool::Fits(const worker& w, const worker_query& q) const {
-  if (!w.present || w.drain || w.quarantined) return false;
+  if (!w.present || w.drain || w.quarantined != q.probe) return false;
   if (q.region != kNone && w.region != q.region) return false;
   if (!q.may_cross && w.region != q.home) return false;
-  if (w.reserved_for != 0 && w.reserved_for != q.job && !q.lendable) {
+  if (w.reserved_for != 0 && w.reserved_for != q.job &&
+      !(q.lendable && lending_)) {
     return false;
   }
   const bool own_pledge = w.kept && w.kept->job == q.job;
@@ -180,23 +230,32 @@
   if (q.home != kNone && w.region != q.home) {
     cost += policy_.w.control * kCrossRegionCost;
   }
+  if (!w.free.Holds(q.likely)) cost += kLikelyOverrunCost;
+  if (q.lendable) {
+    cost -= kUnusedGain * Part(w.unused.cpu_milli, w.capacity.cpu_milli);
+  }
   const bool failed_here = std::find(q.avoid.begin(), q.avoid.end(),
-                                     &w - &workers_.front()) != q.avoid.end();
+                                     &w - workers_.data()) != q.avoid.end();
   return cost + SpreadCost(w, q) + (failed_here ? kAvoidCost : 0);
 }
 
-std::int32_t worker_pool::Better(std::int32_t a, std::int32_t b,
-                                 const worker_query& q) const {
-  const double cost_a = Score(workers_[a], q);
-  const double cost_b = Score(workers_[b], q);
-  if (cost_a != cost_b) return cost_a < cost_b ? a : b;
-  return workers_[a].tie <= workers_[b].tie ? a : b;
+void worker_pool::Consider(std::int32_t w, const worker_query& q,
+                           choice& best) const {
+  if (!Fits(workers_[w], q)) return;
+  ++best.scored;
+  const double cost = Score(workers_[w], q);
+  const bool better =
+      best.w == kNone || cost < best.cost ||
+      (cost == best.cost && workers_[w].tie < workers_[best.w].tie);
+  if (!better) return;
+  best.w = w;
+  best.cost = cost;
 }
 
 std::int32_t worker_pool::Find(const worker_query& q) {
   return std::visit(
       core::overloaded{
-          [&](const room_index&) { return Scan(q); },
+          [&](const room_index& s) { return Indexed(q, s.candidates); },
           [&](const full_scan&) { return Scan(q); },
           [&](const sampled_scan& s) { return Sample(q, s.samples); },
           [&](const first_fit&) { return First(q); },
@@ -204,23 +263,72 @@
       policy_.s);
 }
 
+std::int32_t worker_pool::Indexed(const worker_query& q,
+                                  std::size_t candidates) const {
+  choice best;
+  // Tight rooms of one rack lie together, so spreading needs more to choose
+  // from.
+  if (q.s != cell::spread::kNone) candidates *= 4;
+  for (const bool accelerators : {false, true}) {
+    if (!accelerators && q.need.accelerators > 0) continue;
+    for (const indexed_pool& pool : pools_) {
+      if (pool.accelerators != accelerators) continue;
+      if (q.region != kNone && pool.region != q.region) continue;
+      if (!q.may_cross && pool.region != q.home) continue;
+      SearchPool(pool, q, candidates, best);
+    }
+    if (best.w != kNone) return best.w;
+  }
+  return best.w;
+}
+
+void worker_pool::SearchPool(const indexed_pool& pool, const worker_query& q,
+                             std::size_t candidates, choice& best) const {
+  constexpr std::int32_t kClasses = room_buckets::kClasses;
+  const std::int32_t least = room_buckets::BucketOf(q.need, pool.accelerators);
+  const std::int32_t first_column = least % kClasses;
+  const std::uint32_t columns = ~0U << first_column;
+  best.scored = 0;
+  // Rows and columns of the task's own classes hold workers with and without
+  // room for it, so few of them are looked at first, and all if no other
+  // worker has room.
+  for (const std::size_t probes : {4 * candidates, std::size_t{0}}) {
+    for (std::int32_t row = least / kClasses; row < kClasses; ++row) {
+      for (std::uint32_t bits = pool.rooms.Row(row) & columns; bits != 0;
+           bits &= bits - 1) {
+        const std::int32_t column = std::countr_zero(bits);
+        SearchBucket(pool.rooms.In(row * kClasses + column), q, candidates,
+                     probes, best);
+        if (best.scored >= candidates) return;
+      }
+    }
+    if (best.scored > 0) return;
+  }
+}
+
+void worker_pool::SearchBucket(const std::vector<std::int32_t>& in,
+                               const worker_query& q, std::size_t candidates,
+                               std::size_t probes, choice& best) const {
+  const std::size_t end = probes == 0 ? in.size() : std::min(probes, in.size());
+  for (std::size_t i = 0; i < end && best.scored < candidates; ++i) {
+    Consider(in[i], q, best);
+  }
+}
+
 std::int32_t worker_pool::Scan(const worker_query& q) const {
-  std::int32_t best = kNone;
+  choice best;
   for (std::int32_t i = 0; i < static_cast<std::int32_t>(Size()); ++i) {
-    if (!Fits(workers_[i], q)) continue;
-    best = best == kNone ? i : Better(best, i, q);
+    Consider(i, q, best);
   }
-  return best;
+  return best.w;
 }
 
 std::int32_t worker_pool::Sample(const worker_query& q, std::size_t samples) {
-  std::int32_t best = kNone;
+  choice best;
   for (std::size_t i = 0; i < samples && Size() > 0; ++i) {
-    const auto w = static_cast<std::int32_t>(Random() % Size());
-    if (!Fits(workers_[w], q)) continue;
-    best = best == kNone ? w : Better(best, w, q);
+    Consider(static_cast<std::int32_t>(Random() % Size()), q, best);
   }
-  return best == kNone ? Scan(q) : best;
+  return best.w == kNone ? Scan(q) : best.w;
 }
 
 std::int32_t worker_pool::First(const worker_query& q) const {
--- a/src/placement/worker_pool.h
+++ b/src/placement/worker_pool.h
@@ -2,7 +2,6 @@
 #define MANGOPLANK_PLACEMENT_WORKER_POOL_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -13,6 +12,7 @@
 
 #include "mangoplank/cell/objects.h"
 #include "mangoplank/placement/policy.h"
+#include "room_buckets.h"
 
 namespace mangoplank::placement {
 
@@ -64,9 +64,11 @@
   bool drain = false;
   bool quarantined = false;
   std::vector<cell::task_id> tasks;
+  /// Room that its tasks hold but were not seen to use.
+  core::resources unused;
   /// Position in the index of room.
-  std::int32_t bucket = kNone;
-  std::uint32_t bucket_position = 0;
+  std::int32_t pool = kNone;
+  room_buckets::handle at;
 
   /// @return room that is neither held nor pledged.
   core::resources Open() const { return kept ? free - kept->need : free; }
@@ -75,6 +77,8 @@
 /// What a worker is wanted for.
 struct worker_query {
   core::resources need;
+  /// What the task will probably use, if more than `need`.
+  core::resources likely;
   core::revision job = 0;
   /// Region that is required; kNone for any.
   std::int32_t region = kNone;
@@ -84,6 +88,8 @@
   bool may_cross = true;
   /// The task may be stopped again at once, so reserved room can be lent.
   bool lendable = false;
+  /// Take a quarantined worker.
+  bool probe = false;
   cell::spread s = cell::spread::kNone;
   const location_counts* by_rack = nullptr;
   const location_counts* by_region = nullptr;
@@ -107,6 +113,9 @@
   void Remove(const core::worker_id& id, core::incarnation incarnation);
   void SetQuarantined(std::int32_t w, bool quarantined);
   void SetReserved(std::int32_t w, core::revision job);
+  /// Stops or resumes lending of reserved workers.
+  void SetLending(bool lending) { lending_ = lending; }
+  void AddUnused(std::int32_t w, const core::resources& amount);
   void SetPledge(std::int32_t w, std::optional<pledge> kept);
 
   void Take(std::int32_t w, const core::resources& need);
@@ -133,18 +142,41 @@
   std::int32_t Find(const worker_query& q);
 
  private:
+  /// Workers of one region, with or without accelerators.
+  struct indexed_pool {
+    std::int32_t region = kNone;
+    bool accelerators = false;
+    room_buckets rooms;
+  };
+  /// Best worker found so far and its cost.
+  struct choice {
+    std::int32_t w = kNone;
+    double cost = 0;
+    std::size_t scored = 0;
+  };
+
+  void Reindex(std::int32_t w);
+  void Unindex(std::int32_t w);
+  std::int32_t PoolOf(const worker& w);
+  std::int32_t Indexed(const worker_query& q, std::size_t candidates) const;
+  void SearchPool(const indexed_pool& pool, const worker_query& q,
+                  std::size_t candidates, choice& best) const;
+  void SearchBucket(const std::vector<std::int32_t>& in, const worker_query& q,
+                    std::size_t candidates, std::size_t probes,
+                    choice& best) const;
+  void Consider(std::int32_t w, const worker_query& q, choice& best) const;
   std::int32_t Scan(const worker_query& q) const;
   std::int32_t Sample(const worker_query& q, std::size_t samples);
   std::int32_t First(const worker_query& q) const;
-  std::int32_t Better(std::int32_t a, std::int32_t b,
-                      const worker_query& q) const;
   std::int32_t InternRack(const core::location& where);
   std::uint64_t Random();
   void CountShape(const worker& w, std::int64_t n);
 
   policy policy_;
   std::uint64_t random_;
-  std::deque<worker> workers_;
+  std::vector<worker> workers_;
+  std::vector<indexed_pool> pools_;
+  bool lending_ = true;
   std::unordered_map<core::worker_id, std::int32_t> index_;
   std::map<core::region_id, std::int32_t> regions_;
   std::map<core::location, std::int32_t> racks_;
