--- a/include/mangoplank/control/entry_server.h
+++ b/include/mangoplank/control/entry_server.h
@@ -18,8 +18,8 @@
   virtual void Post(message m) = 0;
   /// @return the next message, or connection_failed at the end.
   virtual core::awaitable<core::outcome<message>> Receive() = 0;
-  /// @return bytes that wait to be sent.
-  virtual std::size_t QueuedBytes() const = 0;
+  /// Waits until all queued messages are handed to the network.
+  virtual core::awaitable<core::outcome<void>> Flush() = 0;
   virtual void Close() = 0;
 };
 
@@ -27,8 +27,6 @@
   core::cell_id cell;
   /// Interval of progress marks without changes.
   core::milliseconds progress_interval{500};
-  /// A feed sends no more while this much waits to be sent.
-  std::size_t feed_window_bytes = 1024 * 1024;
   /// Requests of one entry that are handled at once.
   std::size_t max_requests = 1024;
   /// Entries reconnect one after another in steps of this after a stop, so
--- /dev/null
+++ b/src/apps/bench.h
@@ -0,0 +1,13 @@
+#ifndef MANGOPLANK_APPS_BENCH_H_
+#define MANGOPLANK_APPS_BENCH_H_
+
+/// Areas of mangoplank-bench. Each prints `name value unit` lines and returns
+/// the exit code of the process.
+namespace mangoplank::bench {
+
+/// Sizes and costs per worker, task, department, call and message.
+int RunCapacityBench();
+
+}  // namespace mangoplank::bench
+
+#endif  // MANGOPLANK_APPS_BENCH_H_
--- a/src/control/entry_server.cpp
+++ b/src/control/entry_server.cpp
@@ -140,9 +140,10 @@
   *reached = batch.to;
   for (feed_batch& part : Cut(std::move(batch), before)) {
     s->Post(std::move(part));
-    while (!s->ended && s->link->QueuedBytes() > settings.feed_window_bytes) {
-      co_await s->changed.WaitUntil(clock.Now() + core::milliseconds(20));
-    }
+    // Only one part of a feed waits at a time, so that a large copy does not
+    // fill the queue of the connection.
+    const auto flushed = co_await s->link->Flush();
+    if (!flushed || s->ended) co_return true;
   }
   co_return true;
 }
