--- a/include/mangoplank/cell/command.h
+++ b/include/mangoplank/cell/command.h
@@ -122,10 +122,12 @@
                          const record_outcome&) = default;
 };
 
-/// Forgets ended jobs' tasks, call records and request ids older than
-/// `before`.
+/// Forgets what ended long ago.
 struct compact_records {
+  /// Call records and request ids older than this.
   core::wall_time_ms before = 0;
+  /// Jobs whose last task ended before this, with their tasks.
+  core::wall_time_ms jobs_before = 0;
 
   friend bool operator==(const compact_records&,
                          const compact_records&) = default;
--- a/include/mangoplank/cell/state.h
+++ b/include/mangoplank/cell/state.h
@@ -87,6 +87,8 @@
   std::map<call_key, call_record> calls_;
   std::unordered_map<core::worker_id, core::resources> committed_;
   std::unordered_map<core::worker_id, std::set<task_id>> tasks_of_worker_;
+  /// Calls without an outcome, by the worker that may run them.
+  std::unordered_map<core::worker_id, std::set<call_key>> open_calls_;
   std::map<std::pair<core::department_id, core::request_id>, answered_request>
       requests_;
 };
--- a/src/cell/apply.h
+++ b/src/cell/apply.h
@@ -46,6 +46,8 @@
   void EndTask(task_record t);
   void LoseWorker(const worker_record& w);
   void LoseTask(task_record t);
+  void LoseCalls(const worker_record& w);
+  void SetOutcome(call_record* r, const call_outcome& outcome);
   void ApplyReport(const task_report& r);
   void ApplyFailure(task_record t, const std::string& detail);
   void Requeue(task_record t);
--- a/src/cell/apply_objects.cpp
+++ b/src/cell/apply_objects.cpp
@@ -218,11 +218,34 @@
                       .id = at_,
                       .created = now_};
   s_.calls_[c.key] = r;
+  s_.open_calls_[r.worker].insert(r.key);
   changes_.push_back(call_changed{r});
   a.call = r;
   return a;
 }
 
+void applier::SetOutcome(call_record* r, const call_outcome& outcome) {
+  r->outcome = outcome;
+  const auto it = s_.open_calls_.find(r->worker);
+  if (it != s_.open_calls_.end()) {
+    it->second.erase(r->key);
+    if (it->second.empty()) s_.open_calls_.erase(it);
+  }
+  changes_.push_back(call_changed{*r});
+}
+
+void applier::LoseCalls(const worker_record& w) {
+  const auto it = s_.open_calls_.find(w.id);
+  if (it == s_.open_calls_.end()) return;
+  const std::set<call_key> keys = it->second;
+  for (const call_key& key : keys) {
+    call_record& r = s_.calls_.at(key);
+    if (r.worker_incarnation > w.incarnation) continue;
+    // Nobody is left who could say whether the call ran.
+    SetOutcome(&r, {ending::kOutcomeUnknown, ""});
+  }
+}
+
 applier::answer applier::operator()(const record_outcome& c) {
   const auto it = s_.calls_.find(c.key);
   if (it == s_.calls_.end() || it->second.id != c.id) {
@@ -231,8 +254,7 @@
   call_record& r = it->second;
   const bool open = !r.outcome || r.outcome->e == ending::kOutcomeUnknown;
   if (open && r.outcome != c.outcome) {
-    r.outcome = c.outcome;
-    changes_.push_back(call_changed{r});
+    SetOutcome(&r, c.outcome);
   }
   accepted a = Accepted();
   a.call = r;
@@ -244,15 +266,14 @@
                 [&](const auto& item) { return item.second.at < c.before; });
   for (auto it = s_.calls_.begin(); it != s_.calls_.end();) {
     const call_record& r = it->second;
-    const bool ended = r.outcome && r.outcome->e != ending::kOutcomeUnknown;
-    if (!ended || r.created >= c.before) {
+    if (!r.outcome || r.created >= c.before) {
       ++it;
       continue;
     }
     changes_.push_back(call_removed{r.key});
     it = s_.calls_.erase(it);
   }
-  ForgetEndedJobs(c.before);
+  ForgetEndedJobs(c.jobs_before);
   return Accepted();
 }
 
--- a/src/cell/apply_tasks.cpp
+++ b/src/cell/apply_tasks.cpp
@@ -133,6 +133,7 @@
 }
 
 void applier::LoseWorker(const worker_record& w) {
+  LoseCalls(w);
   const auto it = s_.tasks_of_worker_.find(w.id);
   if (it == s_.tasks_of_worker_.end()) return;
   const std::set<task_id> tasks = it->second;
--- a/src/cell/state.cpp
+++ b/src/cell/state.cpp
@@ -119,7 +119,10 @@
     held = held + t.need;
     s.tasks_of_worker_[t.worker].insert(t.id);
   }
-  for (const call_record& c : image.calls) s.calls_.emplace(c.key, c);
+  for (const call_record& c : image.calls) {
+    s.calls_.emplace(c.key, c);
+    if (!c.outcome) s.open_calls_[c.worker].insert(c.key);
+  }
   for (const auto& r : image.requests) {
     s.requests_.emplace(std::pair(r.caller, r.id), r.kept);
   }
--- a/src/cell/state_test.cpp
+++ b/src/cell/state_test.cpp
@@ -170,6 +170,16 @@
   EXPECT_EQ(late.answer->call->outcome, (call_outcome{ending::kDone, "ok"}));
 }
 
+// Guards against a call that stays open for ever once its worker is gone.
+TEST_F(StateTest, CallOfALostWorkerIsUnknown) {
+  Do(register_worker{Worker("w", 1)});
+  Do(record_intent{kCallKey, "book", "d1", {"e1"}, 1, {"w"}, 1});
+  Do(remove_worker{{"w"}, 1});
+  EXPECT_EQ(s_.FindCall(kCallKey)->outcome->e, ending::kOutcomeUnknown);
+  Do(compact_records{now_ + 1});
+  EXPECT_EQ(s_.FindCall(kCallKey), nullptr);
+}
+
 TEST_F(StateTest, CallThatWasNotRunMayBeTriedOnAnotherWorker) {
   const auto first = Do(record_intent{kCallKey, "book", "d1", {"e1"}, 1});
   Do(record_outcome{kCallKey, first.answer->call->id, {ending::kNotRun, ""}});
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -84,6 +84,7 @@
   awaitable<void> Evict(const placement::round& round);
   awaitable<void> LeaseLoop();
   awaitable<void> CompactionLoop();
+  cell::compact_records Compaction() const;
   awaitable<void> ReplyLoop();
 
   bool Admit(const announcement& a, const std::shared_ptr<entry_sink>& sink,
@@ -300,14 +301,29 @@
   }
 }
 
+cell::compact_records leader::impl::Compaction() const {
+  std::vector<core::wall_time_ms> ended;
+  for (const auto& [id, t] : replicated.State().Tasks()) {
+    if (cell::IsFinal(t.phase)) ended.push_back(t.since);
+  }
+  const core::wall_time_ms before =
+      clock.WallNow() - settings.retention.count();
+  cell::compact_records c{.before = before, .jobs_before = before};
+  if (ended.size() <= settings.max_ended_tasks) return c;
+  const auto first_kept =
+      ended.end() - static_cast<std::ptrdiff_t>(settings.max_ended_tasks);
+  std::nth_element(ended.begin(), first_kept, ended.end());
+  c.jobs_before = std::max(before, *first_kept);
+  return c;
+}
+
 awaitable<void> leader::impl::CompactionLoop() {
   const auto self = shared_from_this();
   while (!stopped) {
     co_await core::SleepFor(clock, kCompactionInterval);
     if (stopped || !Leads()) continue;
     cell::command c;
-    c.body =
-        cell::compact_records{clock.WallNow() - settings.retention.count()};
+    c.body = Compaction();
     co_await replicated.Propose(node, std::move(c));
   }
 }
--- a/src/wire/cell.capnp
+++ b/src/wire/cell.capnp
@@ -269,6 +269,11 @@
   outcome @2 :CallOutcome;
 }
 
+struct CompactRecords {
+  before @0 :Int64;
+  jobsBefore @1 :Int64;
+}
+
 struct Command {
   at @0 :Int64;
   request @1 :Text;
@@ -284,7 +289,7 @@
     evictTasks @10 :List(TaskId);
     recordIntent @11 :RecordIntent;
     recordOutcome @12 :RecordOutcome;
-    compactBefore @13 :Int64;
+    compactRecords @13 :CompactRecords;
   }
 }
 
--- a/src/wire/cell.capnp.cpp
+++ b/src/wire/cell.capnp.cpp
@@ -3602,10 +3602,70 @@
   2, 3, i_e11cd462e4e9742c, nullptr, nullptr, { &s_e11cd462e4e9742c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_df10c673667e385b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     91,  56, 126, 102, 115, 198,  16, 223,
+     11,   0,   0,   0,   1,   0,   2,   0,
+    113,  42, 142,  75, 246, 192, 163, 209,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 101, 108, 108,  46,  99,  97, 112,
+    110, 112,  58,  67, 111, 109, 112,  97,
+     99, 116,  82, 101,  99, 111, 114, 100,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+     98, 101, 102, 111, 114, 101,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    106, 111,  98, 115,  66, 101, 102, 111,
+    114, 101,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_df10c673667e385b = b_df10c673667e385b.words;
+#if !CAPNP_LITE
+static const uint16_t m_df10c673667e385b[] = {0, 1};
+static const uint16_t i_df10c673667e385b[] = {0, 1};
+const ::capnp::_::RawSchema s_df10c673667e385b = {
+  0xdf10c673667e385b, b_df10c673667e385b.words, 49, nullptr, m_df10c673667e385b,
+  0, 2, i_df10c673667e385b, nullptr, nullptr, { &s_df10c673667e385b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<254> b_93452175230b2a07 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
       7,  42,  11,  35, 117,  33,  69, 147,
-     11,   0,   0,   0,   1,   0,   3,   0,
+     11,   0,   0,   0,   1,   0,   2,   0,
     113,  42, 142,  75, 246, 192, 163, 209,
       3,   0,   7,   0,   0,   0,  11,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
@@ -3714,7 +3774,7 @@
      13,   0, 245, 255,   2,   0,   0,   0,
       0,   0,   1,   0,  13,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   2,   0,   0, 114,   0,   0,   0,
+     21,   2,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      20,   2,   0,   0,   3,   0,   1,   0,
      32,   2,   0,   0,   2,   0,   1,   0,
@@ -3848,13 +3908,13 @@
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     99, 111, 109, 112,  97,  99, 116,  66,
-    101, 102, 111, 114, 101,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 109, 112,  97,  99, 116,  82,
+    101,  99, 111, 114, 100, 115,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     91,  56, 126, 102, 115, 198,  16, 223,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -3866,6 +3926,7 @@
   &s_bdfeae1011e9f7d2,
   &s_c1ceb93fb600e247,
   &s_dd2b34f6b70b5332,
+  &s_df10c673667e385b,
   &s_dff0c8117d660d7a,
   &s_e11cd462e4e9742c,
   &s_ed96a8af5b0a164e,
@@ -3876,7 +3937,7 @@
 static const uint16_t i_93452175230b2a07[] = {3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 0, 1, 2};
 const ::capnp::_::RawSchema s_93452175230b2a07 = {
   0x93452175230b2a07, b_93452175230b2a07.words, 254, d_93452175230b2a07, m_93452175230b2a07,
-  10, 14, i_93452175230b2a07, nullptr, nullptr, { &s_93452175230b2a07, nullptr, nullptr, 0, 0, nullptr }
+  11, 14, i_93452175230b2a07, nullptr, nullptr, { &s_93452175230b2a07, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<145> b_d634953703cb74bc = {
@@ -4700,6 +4761,14 @@
 constexpr ::capnp::_::RawSchema const* RecordOutcome::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// CompactRecords
+constexpr uint16_t CompactRecords::_capnpPrivate::dataWordSize;
+constexpr uint16_t CompactRecords::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind CompactRecords::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* CompactRecords::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Command
 constexpr uint16_t Command::_capnpPrivate::dataWordSize;
 constexpr uint16_t Command::_capnpPrivate::pointerCount;
--- a/src/wire/cell.capnp.h
+++ b/src/wire/cell.capnp.h
@@ -52,6 +52,7 @@
 CAPNP_DECLARE_SCHEMA(dd2b34f6b70b5332);
 CAPNP_DECLARE_SCHEMA(8045af6edbf1536f);
 CAPNP_DECLARE_SCHEMA(e11cd462e4e9742c);
+CAPNP_DECLARE_SCHEMA(df10c673667e385b);
 CAPNP_DECLARE_SCHEMA(93452175230b2a07);
 CAPNP_DECLARE_SCHEMA(d634953703cb74bc);
 CAPNP_DECLARE_SCHEMA(9f06d07537a4df54);
@@ -620,6 +621,21 @@
   };
 };
 
+struct CompactRecords {
+  CompactRecords() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df10c673667e385b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Command {
   Command() = delete;
 
@@ -637,11 +653,11 @@
     EVICT_TASKS,
     RECORD_INTENT,
     RECORD_OUTCOME,
-    COMPACT_BEFORE,
+    COMPACT_RECORDS,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93452175230b2a07, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(93452175230b2a07, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4505,6 +4521,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class CompactRecords::Reader {
+public:
+  typedef CompactRecords Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getBefore() const;
+
+  inline  ::int64_t getJobsBefore() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CompactRecords::Builder {
+public:
+  typedef CompactRecords Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getBefore();
+  inline void setBefore( ::int64_t value);
+
+  inline  ::int64_t getJobsBefore();
+  inline void setJobsBefore( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CompactRecords::Pipeline {
+public:
+  typedef CompactRecords Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Command::Reader {
 public:
   typedef Command Reads;
@@ -4571,8 +4668,9 @@
   inline bool hasRecordOutcome() const;
   inline  ::mangoplank::wire::schema::RecordOutcome::Reader getRecordOutcome() const;
 
-  inline bool isCompactBefore() const;
-  inline  ::int64_t getCompactBefore() const;
+  inline bool isCompactRecords() const;
+  inline bool hasCompactRecords() const;
+  inline  ::mangoplank::wire::schema::CompactRecords::Reader getCompactRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4701,9 +4799,13 @@
   inline void adoptRecordOutcome(::capnp::Orphan< ::mangoplank::wire::schema::RecordOutcome>&& value);
   inline ::capnp::Orphan< ::mangoplank::wire::schema::RecordOutcome> disownRecordOutcome();
 
-  inline bool isCompactBefore();
-  inline  ::int64_t getCompactBefore();
-  inline void setCompactBefore( ::int64_t value);
+  inline bool isCompactRecords();
+  inline bool hasCompactRecords();
+  inline  ::mangoplank::wire::schema::CompactRecords::Builder getCompactRecords();
+  inline void setCompactRecords( ::mangoplank::wire::schema::CompactRecords::Reader value);
+  inline  ::mangoplank::wire::schema::CompactRecords::Builder initCompactRecords();
+  inline void adoptCompactRecords(::capnp::Orphan< ::mangoplank::wire::schema::CompactRecords>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::CompactRecords> disownCompactRecords();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -9646,6 +9748,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t CompactRecords::Reader::getBefore() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CompactRecords::Builder::getBefore() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CompactRecords::Builder::setBefore( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CompactRecords::Reader::getJobsBefore() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CompactRecords::Builder::getJobsBefore() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CompactRecords::Builder::setJobsBefore( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::mangoplank::wire::schema::Command::Which Command::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -10283,30 +10413,58 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Command::Reader::isCompactBefore() const {
-  return which() == Command::COMPACT_BEFORE;
+inline bool Command::Reader::isCompactRecords() const {
+  return which() == Command::COMPACT_RECORDS;
+}
+inline bool Command::Builder::isCompactRecords() {
+  return which() == Command::COMPACT_RECORDS;
 }
-inline bool Command::Builder::isCompactBefore() {
-  return which() == Command::COMPACT_BEFORE;
+inline bool Command::Reader::hasCompactRecords() const {
+  if (which() != Command::COMPACT_RECORDS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasCompactRecords() {
+  if (which() != Command::COMPACT_RECORDS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::int64_t Command::Reader::getCompactBefore() const {
-  KJ_IREQUIRE((which() == Command::COMPACT_BEFORE),
+inline  ::mangoplank::wire::schema::CompactRecords::Reader Command::Reader::getCompactRecords() const {
+  KJ_IREQUIRE((which() == Command::COMPACT_RECORDS),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::CompactRecords>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Command::Builder::getCompactBefore() {
-  KJ_IREQUIRE((which() == Command::COMPACT_BEFORE),
+inline  ::mangoplank::wire::schema::CompactRecords::Builder Command::Builder::getCompactRecords() {
+  KJ_IREQUIRE((which() == Command::COMPACT_RECORDS),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::CompactRecords>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::setCompactBefore( ::int64_t value) {
+inline void Command::Builder::setCompactRecords( ::mangoplank::wire::schema::CompactRecords::Reader value) {
   _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::COMPACT_BEFORE);
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::COMPACT_RECORDS);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::CompactRecords>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::CompactRecords::Builder Command::Builder::initCompactRecords() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::COMPACT_RECORDS);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::CompactRecords>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptCompactRecords(
+    ::capnp::Orphan< ::mangoplank::wire::schema::CompactRecords>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::COMPACT_RECORDS);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::CompactRecords>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::CompactRecords> Command::Builder::disownCompactRecords() {
+  KJ_IREQUIRE((which() == Command::COMPACT_RECORDS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::CompactRecords>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline  ::mangoplank::wire::schema::Change::Which Change::Reader::which() const {
--- a/src/wire/convert_commands.cpp
+++ b/src/wire/convert_commands.cpp
@@ -121,8 +121,9 @@
     case Command::RECORD_OUTCOME:
       return ReadOutcome(r.getRecordOutcome(),
                          v.emplace<cell::record_outcome>(), left);
-    case Command::COMPACT_BEFORE:
-      v = cell::compact_records{r.getCompactBefore()};
+    case Command::COMPACT_RECORDS:
+      v = cell::compact_records{r.getCompactRecords().getBefore(),
+                                r.getCompactRecords().getJobsBefore()};
       return;
   }
   KJ_FAIL_REQUIRE("unknown alternative of command");
@@ -190,7 +191,9 @@
             WriteOutcome(c, b.initRecordOutcome());
           },
           [&](const cell::compact_records& c) {
-            b.setCompactBefore(c.before);
+            auto compact = b.initCompactRecords();
+            compact.setBefore(c.before);
+            compact.setJobsBefore(c.jobs_before);
           }},
       v.body);
 }
