--- /dev/null
+++ b/src/calls/slot_table.h
@@ -0,0 +1,73 @@
+#ifndef MANGOPLANK_CALLS_SLOT_TABLE_H_
+#define MANGOPLANK_CALLS_SLOT_TABLE_H_
+
+#include <map>
+
+#include "mangoplank/control/messages.h"
+
+namespace mangoplank::calls {
+
+/// A worker's process: its name and incarnation.
+struct worker_key {
+  core::worker_id worker;
+  core::incarnation incarnation = 0;
+
+  friend bool operator==(const worker_key&, const worker_key&) = default;
+  friend auto operator<=>(const worker_key&, const worker_key&) = default;
+};
+
+/// Slot use of one worker by this entry.
+struct slot_use {
+  std::int64_t granted = 0;
+  std::int64_t in_flight = 0;
+  std::int64_t bulk_in_flight = 0;
+  /// Adaptive limit of calls in flight, at most `granted`.
+  double limit = 1;
+  int faults_in_a_row = 0;
+  /// Other workers are preferred until then.
+  core::time_point avoid_until{};
+
+  std::int64_t Free() const {
+    return std::min(granted, static_cast<std::int64_t>(limit)) - in_flight;
+  }
+  friend bool operator==(const slot_use&, const slot_use&) = default;
+};
+
+/// Slots granted by the leader and calls that hold them.
+class slot_table {
+ public:
+  /// A set of grants that calls in flight keep to.
+  struct kept_set {
+    core::term t = 0;
+    std::uint64_t sequence = 0;
+    core::time_point end{};
+    std::vector<control::slot_grant> grants;
+  };
+
+  /// Replaces the grants unless `g` is older than the last set.
+  /// @param sent when the report was sent that `g` answers; the lease counts
+  /// from there.
+  /// @return whether it was taken.
+  bool Grant(const control::slot_grants& g, core::time_point sent);
+  /// @return nullptr if no slot of the worker is granted now.
+  const slot_use* Find(const worker_key& w, core::time_point now) const;
+  void Take(const worker_key& w, bool bulk);
+  void Release(const worker_key& w, bool bulk);
+  /// @return whether a slot that was taken is still covered by a grant.
+  bool Covers(const worker_key& w, core::time_point now) const;
+  /// The worker answered: raises its limit by one per round of calls.
+  void OnAnswer(const worker_key& w);
+  /// The worker refused, or did not answer: lowers its limit.
+  void OnRefusal(const worker_key& w, core::time_point now);
+  /// @return the newest set of grants that calls in flight keep to.
+  const kept_set& Kept();
+
+ private:
+  kept_set last_;
+  kept_set kept_;
+  std::map<worker_key, slot_use> workers_;
+};
+
+}  // namespace mangoplank::calls
+
+#endif  // MANGOPLANK_CALLS_SLOT_TABLE_H_
