Fault schedules: check progress after healing

Change: writes and reads must succeed in the 4 s after a healed cell has had 6 s to settle, which is stricter than before. The skewed clock rounds up.

--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -147,9 +147,9 @@
   }
   core::wall_time_ms WallNow() const override { return base_.WallNow(); }
   timer_id CallAt(core::time_point at, std::function<void()> f) override {
-    // One nanosecond more, so that rounding never fires a timer early.
+    // A little more, so that rounding never fires a timer early.
     const auto base = Scale(at.time_since_epoch(), 1 / rate_);
-    return base_.CallAt(core::time_point(base + core::duration(1)),
+    return base_.CallAt(core::time_point(base + core::duration(4)),
                         std::move(f));
   }
   void Cancel(timer_id id) override { base_.Cancel(id); }
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -48,8 +48,15 @@
       Disturb();
     }
     Heal();
+    // A member that was down may have to pass through a few elections first.
+    c_.RunFor(seconds(6));
+    const std::size_t writes = acknowledged_.size();
+    const std::size_t reads = reads_;
+    c_.RunFor(seconds(4));
+    EXPECT_GT(acknowledged_.size(), writes) << "no writes after the faults";
+    EXPECT_GT(reads_, reads) << "no reads after the faults";
     done_ = true;
-    c_.RunFor(seconds(8));
+    c_.RunFor(seconds(4));
     CheckEnd();
   }
 
@@ -167,8 +174,6 @@
       ASSERT_NE(it, history_.end()) << "lost: " << command;
       EXPECT_EQ(it->second, command);
     }
-    EXPECT_GT(acknowledged_.size(), 0u);
-    EXPECT_GT(reads_, 0u);
   }
 
   std::mt19937_64 random_;
