--- a/include/mangoplank/calls/call.h
+++ b/include/mangoplank/calls/call.h
@@ -6,6 +6,7 @@
 
 #include "mangoplank/cell/objects.h"
 #include "mangoplank/core/clock.h"
+#include "mangoplank/core/failure.h"
 
 /// Calls from callers to services.
 namespace mangoplank::calls {
--- a/include/mangoplank/metrics/registry.h
+++ b/include/mangoplank/metrics/registry.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,24 @@
   /// @return samples at or below `seconds`, to the resolution of the buckets.
   std::uint64_t CountUpTo(double seconds) const;
 
+  /// All that a histogram holds, to send or keep it.
+  struct content {
+    /// Samples by bucket; the first is below the axis, the last above it.
+    std::vector<std::uint64_t> counts;
+    /// Whole microseconds, so that the order of additions does not show.
+    std::uint64_t sum_us = 0;
+    std::uint64_t max_us = 0;
+
+    friend bool operator==(const content&, const content&) = default;
+  };
+  content Content() const;
+  /// @return none if the number of buckets is not that of Content().
+  static std::optional<histogram> FromContent(const content& c);
+  /// Compares what Content() returns.
+  friend bool operator==(const histogram& a, const histogram& b) {
+    return a.Content() == b.Content();
+  }
+
  private:
   friend class registry;
   using axis =
--- /dev/null
+++ b/include/mangoplank/report/json.h
@@ -0,0 +1,29 @@
+#ifndef MANGOPLANK_REPORT_JSON_H_
+#define MANGOPLANK_REPORT_JSON_H_
+
+#include <string>
+#include <string_view>
+
+#include "mangoplank/report/burn.h"
+
+namespace mangoplank::report {
+
+/// Largest text of a recording that is read, in bytes.
+inline constexpr std::size_t kMaxRecordingBytes = 256 << 20;
+
+/// @return a recording as JSON, the body of `GET /v1/objectives` and the
+/// content of a history file. docs/report.md has the fields.
+std::string ToJson(const recording& r);
+
+/// Reads what ToJson wrote.
+/// @return the recording, or invalid_request that names the first field that
+/// is missing, unknown, repeated, of the wrong type or out of range.
+core::result<recording> FromJson(std::string_view text);
+
+/// @return a report as JSON, with the sources that could not be read.
+std::string ToJson(const burn_report& r,
+                   const std::vector<std::string>& unreachable);
+
+}  // namespace mangoplank::report
+
+#endif  // MANGOPLANK_REPORT_JSON_H_
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -14,6 +14,7 @@
 constexpr double kLowestSeconds = 1e-5;
 constexpr double kHighestSeconds = 100;
 constexpr unsigned kBuckets = 70;
+constexpr double kMicroseconds = 1e6;
 
 std::string Escape(std::string_view value) {
   std::string out;
@@ -100,6 +101,30 @@
   return seen;
 }
 
+histogram::content histogram::Content() const {
+  content c;
+  for (int i = -1; i <= buckets_.axis(0).size(); ++i) {
+    c.counts.push_back(static_cast<std::uint64_t>(double(buckets_.at(i))));
+  }
+  c.sum_us = static_cast<std::uint64_t>(std::llround(Sum() * kMicroseconds));
+  c.max_us = static_cast<std::uint64_t>(std::llround(Max() * kMicroseconds));
+  return c;
+}
+
+std::optional<histogram> histogram::FromContent(const content& c) {
+  histogram h;
+  const int size = h.buckets_.axis(0).size();
+  if (c.counts.size() != static_cast<std::size_t>(size) + 2) return {};
+  for (int i = -1; i <= size; ++i) {
+    const std::uint64_t n = c.counts[static_cast<std::size_t>(i + 1)];
+    h.buckets_.at(i) = n;
+    h.merged_count_ += n;
+  }
+  h.merged_sum_ = static_cast<double>(c.sum_us) / kMicroseconds;
+  h.merged_max_ = static_cast<double>(c.max_us) / kMicroseconds;
+  return h;
+}
+
 template <class T>
 T& registry::Find(families<T>& all, std::string_view name,
                   std::string_view help, const labels& l) {
--- /dev/null
+++ b/src/report/json_test.cpp
@@ -0,0 +1,87 @@
+#include "mangoplank/report/json.h"
+
+#include <gtest/gtest.h>
+
+#include "report/test_streams.h"
+
+namespace mangoplank::report {
+namespace {
+
+recording Sample(std::uint64_t seed, std::size_t calls) {
+  recorder r({{"entry-1"}, ~std::uint64_t{0}}, {"sieradz"});
+  r.SetObjectives(test::TwoObjectives());
+  const auto samples = test::RandomCalls(seed, calls);
+  for (const test::sample& s : samples) test::AddTo(&r, s);
+  return r.Recording(samples.back().at);
+}
+
+core::outcome<recording> Read(const std::string& text) {
+  return core::Capture([&] { return FromJson(text); });
+}
+
+// Guards against counts, times or the incarnation losing digits on the way.
+TEST(JsonTest, ReadsWhatItWrote) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    const recording r = Sample(seed, 1000);
+    const auto back = Read(ToJson(r));
+    ASSERT_TRUE(back) << core::Describe(back.error());
+    EXPECT_EQ(*back, r);
+  }
+}
+
+// Guards against bad input that is taken for a recording. Each pair replaces
+// a part of a good text once.
+TEST(JsonTest, NamesTheFieldThatIsNotValid) {
+  const std::string good =
+      R"({"format":1,"version":7,"objectives":[{"name":"n","department":"d",)"
+      R"("service":"s","operation":"o","target_ppm":999000,"threshold_ms":1}],)"
+      R"("sources":[{"entry":"e","incarnation":1,"region":"r","taken_ms":5,)"
+      R"("dropped":0,"series":[{"department":"d","service":"s",)"
+      R"("operation":"o","minutes":[[1,2,0,0,0,0]],"ten_minutes":[],)"
+      R"("latency":[{"bucket":1,"counts":[[0,2]],"sum_us":4,"max_us":2}]}]}]})";
+  ASSERT_TRUE(Read(good));
+  const std::string series = "sources[0].series[0]";
+  const struct {
+    std::string part, replacement, field;
+  } cases[] = {
+      {R"("format":1)", R"("format":2)", "format"},
+      {R"("version":7,)", "", "version"},
+      {R"("version":7)", R"("version":-7)", "version"},
+      {R"("version":7)", R"("version":7.5)", "version"},
+      {R"("version":7)", R"("version":7,"extra":1)", "extra"},
+      {R"("target_ppm":999000)", R"("target_ppm":1000000)",
+       "objectives[0].target_ppm"},
+      {R"("threshold_ms":1)", R"("threshold_ms":"1")",
+       "objectives[0].threshold_ms"},
+      {R"("sources":[{)", R"("sources":[7,{)", "sources[0]"},
+      {R"("entry":"e")", R"("entry":"")", "sources[0].entry"},
+      {R"([1,2,0,0,0,0])", R"([1,2,0,0,0])", series + ".minutes[0]"},
+      {R"([1,2,0,0,0,0])", R"([1,2,0,0,0,1e300])", series + ".minutes[0][5]"},
+      {R"([1,2,0,0,0,0])", R"([1,2,0,0,0,0],[1,2,0,0,0,0])",
+       series + ".minutes[1]"},
+      {R"("ten_minutes":[])", R"("ten_minutes":{})", series + ".ten_minutes"},
+      {R"([0,2])", R"([72,2])", series + ".latency[0].counts[0][0]"},
+  };
+  for (const auto& c : cases) {
+    std::string text = good;
+    const std::size_t at = text.find(c.part);
+    ASSERT_NE(at, std::string::npos) << c.part;
+    text.replace(at, c.part.size(), c.replacement);
+    const auto r = Read(text);
+    ASSERT_FALSE(r) << c.replacement;
+    const auto fields = std::get<core::invalid_request>(r.error()).fields;
+    EXPECT_EQ(fields.at(0).field, c.field) << c.replacement;
+  }
+}
+
+// Guards against a crash or an empty recording on a text that is cut off.
+TEST(JsonTest, RefusesEveryProperPrefix) {
+  const std::string text = ToJson(Sample(1, 5));
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    EXPECT_FALSE(Read(text.substr(0, n))) << n;
+  }
+  EXPECT_FALSE(Read(std::string(100'000, '[')));
+}
+
+}  // namespace
+}  // namespace mangoplank::report
