--- a/include/mangoplank/wire/codec.h
+++ b/include/mangoplank/wire/codec.h
@@ -20,11 +20,23 @@
 /// cell::change, about 600 bytes, as a value.
 inline constexpr std::size_t kMemoryFactor = 32;
 
+/// First frame of each side of a link between control processes.
+struct peer_hello {
+  core::cell_id cell;
+  core::member_id member;
+  /// Identity of the member's data folder; 0 if not known yet.
+  std::uint64_t disk = 0;
+  std::uint32_t version = 1;
+
+  friend bool operator==(const peer_hello&, const peer_hello&) = default;
+};
+
 std::string Encode(const cell::command& v);
 std::string Encode(const cell::state_image& v);
 std::string Encode(const consensus::message& v);
 std::string Encode(const consensus::membership& v);
 std::string Encode(const control::message& v);
+std::string Encode(const peer_hello& v);
 
 /// @return the failure of a message from a peer that can't be decoded.
 inline core::failure Malformed(std::string peer = {}) {
@@ -50,6 +62,10 @@
 core::result<control::message> DecodeControlMessage(
     std::string_view bytes, const core::failure& malformed = Malformed());
 
+/// @param malformed as for DecodeCommand.
+core::result<peer_hello> DecodePeerHello(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+
 }  // namespace mangoplank::wire
 
 #endif  // MANGOPLANK_WIRE_CODEC_H_
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -84,6 +84,10 @@
   return EncodeAs<schema::ControlMessage>(v);
 }
 
+std::string Encode(const peer_hello& v) {
+  return EncodeAs<schema::PeerHello>(v);
+}
+
 core::result<cell::command> DecodeCommand(std::string_view bytes,
                                           const core::failure& malformed) {
   return DecodeAs<schema::Command, cell::command>(bytes, malformed);
@@ -110,4 +114,9 @@
   return DecodeAs<schema::ControlMessage, control::message>(bytes, malformed);
 }
 
+core::result<peer_hello> DecodePeerHello(std::string_view bytes,
+                                         const core::failure& malformed) {
+  return DecodeAs<schema::PeerHello, peer_hello>(bytes, malformed);
+}
+
 }  // namespace mangoplank::wire
--- a/src/wire/codec_test.cpp
+++ b/src/wire/codec_test.cpp
@@ -133,6 +133,10 @@
   return DecodeControlMessage(b);
 }
 
+core::result<peer_hello> Decode(std::string_view b, const peer_hello&) {
+  return DecodePeerHello(b);
+}
+
 template <class T>
 core::outcome<T> TryDecode(std::string_view bytes, const T& like) {
   return core::Capture([&] { return Decode(bytes, like); });
@@ -182,6 +186,9 @@
   consensus::membership members;
   fill.Fill(members);
   ExpectRoundTrip(members, 0);
+  peer_hello hello;
+  fill.Fill(hello);
+  ExpectRoundTrip(hello, 0);
 }
 
 TEST(CodecTest, ControlMessagesRoundTrip) {
--- a/src/wire/convert.h
+++ b/src/wire/convert.h
@@ -9,6 +9,7 @@
 #include "mangoplank/cell/state.h"
 #include "mangoplank/consensus/messages.h"
 #include "mangoplank/control/messages.h"
+#include "mangoplank/wire/codec.h"
 #include "wire/cell.capnp.h"
 #include "wire/consensus.capnp.h"
 #include "wire/control.capnp.h"
@@ -123,6 +124,8 @@
 void Write(const consensus::message& v, schema::ConsensusMessage::Builder b);
 void Read(schema::ConsensusMessage::Reader r, consensus::message& v,
           budget& left);
+void Write(const peer_hello& v, schema::PeerHello::Builder b);
+void Read(schema::PeerHello::Reader r, peer_hello& v, budget& left);
 
 // --- control ---------------------------------------------------------------
 
--- a/src/wire/convert_consensus.cpp
+++ b/src/wire/convert_consensus.cpp
@@ -206,4 +206,18 @@
   KJ_FAIL_REQUIRE("unknown alternative of consensus message");
 }
 
+void Write(const peer_hello& v, schema::PeerHello::Builder b) {
+  b.setCell(Text(v.cell.v));
+  b.setMember(Text(v.member.v));
+  b.setDisk(v.disk);
+  b.setVersion(v.version);
+}
+
+void Read(schema::PeerHello::Reader r, peer_hello& v, budget&) {
+  v.cell.v = String(r.getCell());
+  v.member.v = String(r.getMember());
+  v.disk = r.getDisk();
+  v.version = r.getVersion();
+}
+
 }  // namespace mangoplank::wire
