--- /dev/null
+++ b/src/ctl/output.h
@@ -0,0 +1,38 @@
+#ifndef MANGOPLANK_CTL_OUTPUT_H_
+#define MANGOPLANK_CTL_OUTPUT_H_
+
+#include <boost/json.hpp>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mangoplank/cell/objects.h"
+
+namespace mangoplank::ctl {
+
+/// Rows of text in aligned columns; the first row is the head.
+using table = std::vector<std::vector<std::string>>;
+
+void PrintTable(std::ostream& out, const table& rows);
+
+/// @param path member names with dots between, for example `spec.tasks`.
+/// @return the value as text, `-` if there is none.
+std::string TextAt(const boost::json::value& v, std::string_view path);
+
+/// @return a whole number, 0 if there is none.
+std::int64_t NumberAt(const boost::json::value& v, std::string_view path);
+
+/// @return the columns of a kind, one row for each object.
+table ObjectTable(cell::object_kind k, const boost::json::array& objects);
+
+/// Prints with indentation.
+void PrintIndented(std::ostream& out, const boost::json::value& v,
+                   int depth = 0);
+
+/// @return the text without control characters, for terminals.
+std::string Printable(std::string_view text);
+
+}  // namespace mangoplank::ctl
+
+#endif  // MANGOPLANK_CTL_OUTPUT_H_
