--- a/include/mangoplank/report/burn.h
+++ b/include/mangoplank/report/burn.h
@@ -109,6 +109,17 @@
   friend bool operator==(const burn_report&, const burn_report&) = default;
 };
 
+/// An entry whose counts the report lacks.
+struct missing_entry {
+  core::endpoint entry;
+  core::failure why;
+
+  friend bool operator==(const missing_entry&, const missing_entry&) = default;
+};
+
+/// @return `ADDRESS:PORT`, with brackets around an IPv6 address.
+std::string Text(const core::endpoint& e);
+
 /// A window takes in the bucket of `now` and those before it: 5, 30 and 60 of
 /// a minute, 36 and 432 of ten minutes. Later buckets are left out.
 burn_report Evaluate(const recording& r, core::wall_time_ms now);
--- /dev/null
+++ b/include/mangoplank/report/fetch.h
@@ -0,0 +1,27 @@
+#ifndef MANGOPLANK_REPORT_FETCH_H_
+#define MANGOPLANK_REPORT_FETCH_H_
+
+#include <string>
+
+#include "mangoplank/core/clock.h"
+#include "mangoplank/report/recording.h"
+
+namespace mangoplank::report {
+
+/// Where an entry serves its recording.
+inline constexpr char kObjectivesPath[] = "/v1/objectives";
+
+/// Reads the recording of one entry.
+/// @param token bearer token; empty for none.
+/// @param timeout for all of it, from the connect to the end of the answer.
+/// @return the recording, or connection_failed, deadline_exceeded,
+/// unauthenticated, forbidden, not_found (an entry of an older version),
+/// unavailable for any other status, or invalid_request for an answer that is
+/// no recording.
+core::awaitable<core::outcome<recording>> Fetch(core::endpoint entry,
+                                                std::string token,
+                                                core::milliseconds timeout);
+
+}  // namespace mangoplank::report
+
+#endif  // MANGOPLANK_REPORT_FETCH_H_
--- a/include/mangoplank/report/json.h
+++ b/include/mangoplank/report/json.h
@@ -17,12 +17,12 @@
 
 /// Reads what ToJson wrote.
 /// @return the recording, or invalid_request that names the first field that
-/// is missing, unknown, repeated, of the wrong type or out of range.
+/// is missing, unknown, of the wrong type or out of range, or item repeated.
 core::result<recording> FromJson(std::string_view text);
 
-/// @return a report as JSON, with the sources that could not be read.
+/// @return a report as JSON, with the entries that could not be read.
 std::string ToJson(const burn_report& r,
-                   const std::vector<std::string>& unreachable);
+                   const std::vector<missing_entry>& missing);
 
 }  // namespace mangoplank::report
 
--- a/src/report/burn.cpp
+++ b/src/report/burn.cpp
@@ -1,5 +1,7 @@
 #include "mangoplank/report/burn.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/multiprecision/cpp_int.hpp>
 
@@ -182,6 +184,12 @@
   return kNames[static_cast<std::size_t>(v)];
 }
 
+std::string Text(const core::endpoint& e) {
+  const bool is_v6 = e.address.find(':') != std::string::npos;
+  if (is_v6) return fmt::format("[{}]:{}", e.address, e.port);
+  return fmt::format("{}:{}", e.address, e.port);
+}
+
 double Burn(const tally& t, std::int64_t target_ppm) {
   if (t.Total() == 0) return 0;
   const double missed =
--- a/src/report/json_read.cpp
+++ b/src/report/json_read.cpp
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <initializer_list>
 #include <limits>
@@ -57,6 +58,9 @@
                  fmt::format("must be a whole number from {} to {}", min, max));
 }
 
+/// Others could change what a terminal shows.
+bool IsPrintable(char c) { return c > ' ' && c <= '~'; }
+
 /// The fields of one object.
 class fields {
  public:
@@ -90,11 +94,13 @@
   result<std::string> Name(std::string_view name) const {
     BOOST_LEAF_AUTO(v, At(name));
     const auto* s = v->if_string();
-    if (s != nullptr && !s->empty() && s->size() <= cell::kMaxNameBytes) {
+    if (s != nullptr && !s->empty() && s->size() <= cell::kMaxNameBytes &&
+        std::all_of(s->begin(), s->end(), IsPrintable)) {
       return std::string(s->data(), s->size());
     }
-    return Invalid(Path(name), fmt::format("must be text of 1 to {} bytes",
-                                           cell::kMaxNameBytes));
+    return Invalid(Path(name),
+                   fmt::format("must be 1 to {} printable bytes of ASCII",
+                               cell::kMaxNameBytes));
   }
   result<const json::array*> Array(std::string_view name,
                                    std::size_t max) const {
--- a/src/report/json_test.cpp
+++ b/src/report/json_test.cpp
@@ -55,6 +55,7 @@
        "objectives[0].threshold_ms"},
       {R"("sources":[{)", R"("sources":[7,{)", "sources[0]"},
       {R"("entry":"e")", R"("entry":"")", "sources[0].entry"},
+      {R"("entry":"e")", R"("entry":"\u001b[2J")", "sources[0].entry"},
       {R"([1,2,0,0,0,0])", R"([1,2,0,0,0])", series + ".minutes[0]"},
       {R"([1,2,0,0,0,0])", R"([1,2,0,0,0,1e300])", series + ".minutes[0][5]"},
       {R"([1,2,0,0,0,0])", R"([1,2,0,0,0,0],[1,2,0,0,0,0])",
--- a/src/report/json_write.cpp
+++ b/src/report/json_write.cpp
@@ -123,16 +123,19 @@
 }
 
 std::string ToJson(const burn_report& r,
-                   const std::vector<std::string>& unreachable) {
+                   const std::vector<missing_entry>& missing) {
   json::array objectives;
   for (const objective_status& s : r.objectives) objectives.push_back(Write(s));
-  json::array missing;
-  for (const std::string& s : unreachable) missing.emplace_back(s);
+  json::array entries;
+  for (const missing_entry& m : missing) {
+    entries.push_back(json::object{{"entry", Text(m.entry)},
+                                   {"reason", core::Describe(m.why)}});
+  }
   return json::serialize(json::object{{"at_ms", r.at},
                                       {"verdict", Text(r.worst)},
                                       {"objectives", std::move(objectives)},
                                       {"dropped", r.dropped},
-                                      {"unreachable", std::move(missing)}});
+                                      {"missing_entries", std::move(entries)}});
 }
 
 }  // namespace mangoplank::report
--- a/src/report/objective.cpp
+++ b/src/report/objective.cpp
@@ -16,6 +16,8 @@
 /// The longest deadline of an operation.
 constexpr std::int64_t kMaxThresholdMs = 3'600'000;
 constexpr std::size_t kPercentDecimals = 4;
+constexpr std::string_view kNameBytes =
+    "abcdefghijklmnopqrstuvwxyz0123456789-_.";
 
 std::vector<std::string_view> Split(std::string_view text, char separator) {
   std::vector<std::string_view> parts;
@@ -73,6 +75,7 @@
   if (parts.size() != 3) return {};
   for (const std::string_view part : parts) {
     if (part.empty() || part.size() > cell::kMaxNameBytes) return {};
+    if (part.find_first_not_of(kNameBytes) != part.npos) return {};
   }
   return operation_key{
       {std::string(parts[0])}, std::string(parts[1]), std::string(parts[2])};
--- a/src/report/objective_test.cpp
+++ b/src/report/objective_test.cpp
@@ -47,6 +47,7 @@
                              "a/b 99.9% 250ms",
                              "a/b/c/d 99.9% 250ms",
                              "a//c 99.9% 250ms",
+                             "a/b/C\x1b 99.9% 250ms",
                              "a/b/c 99.9 250ms",
                              "a/b/c 100% 250ms",
                              "a/b/c 0% 250ms",
