--- a/include/mangoplank/placement/decision.h
+++ b/include/mangoplank/placement/decision.h
@@ -21,6 +21,8 @@
 enum class evict_reason : std::uint8_t {
   /// The work runs on borrowed room that its owner needs.
   kReclaimed,
+  /// The work runs on room that was kept for a gang job and lent meanwhile.
+  kLent,
   /// A newer generation of the service replaces the task.
   kReplaced,
   /// The worker of a service task is draining.
--- a/src/placement/decide.cpp
+++ b/src/placement/decide.cpp
@@ -17,6 +17,15 @@
   return std::max<std::int64_t>(n, 0);
 }
 
+// Region with most of the job's tasks.
+std::int32_t HomeOf(const job& j) {
+  const auto most = std::max_element(
+      j.by_region.begin(), j.by_region.end(), [](const auto& a, const auto& b) {
+        return a.second != b.second ? a.second < b.second : a.first > b.first;
+      });
+  return most->first;
+}
+
 void AddShort(std::vector<shortage>& what, shortage::kind k, std::int64_t need,
               std::int64_t most) {
   if (need > most) what.push_back({k, need, most});
@@ -196,7 +205,7 @@
     q.region = j.by_region.front().first;
   }
   if (q.s != cell::spread::kRegions && !j.by_region.empty()) {
-    q.home = j.by_region.front().first;
+    q.home = HomeOf(j);
   }
   q.avoid = j.failed_on;
   return q;
--- a/src/placement/make_room.cpp
+++ b/src/placement/make_room.cpp
@@ -75,7 +75,7 @@
   }
   if (n > 0) reclaim_from_ = (reclaim_from_ + looked) % n;
   if (!best) return false;
-  Evict(best->tasks);
+  Evict(best->tasks, evict_reason::kReclaimed);
   Pledge(j, best->worker, need, now);
   return true;
 }
@@ -103,9 +103,11 @@
   victims v{.worker = w};
   core::resources room = n.free;
   std::vector<std::pair<std::int32_t, core::resources>> stopped;
+  std::vector<core::revision> gangs;
   for (const auto& [cost, since, id] : candidates) {
     if (room.Holds(need)) break;
     const job& owner = *jobs_.Find(id.job);
+    if (std::find(gangs.begin(), gangs.end(), id.job) != gangs.end()) continue;
     const task_slot& t = owner.tasks[id.index];
     auto it = std::find_if(stopped.begin(), stopped.end(), [&](const auto& s) {
       return s.first == owner.department;
@@ -116,18 +118,35 @@
     if (!departments_.IsBorrowed(owner.department, t.need, it->second)) {
       continue;
     }
-    it->second = it->second + t.need;
-    room = room + t.need;
+    const freed f = FreedBy(id, w);
+    it->second = it->second + f.anywhere;
+    room = room + f.on_worker;
     v.cost += cost;
     v.tasks.push_back(id);
+    if (std::holds_alternative<gang_work>(owner.w)) gangs.push_back(owner.uid);
   }
   if (!room.Holds(need)) return std::nullopt;
   return v;
 }
 
-void scheduler::impl::Evict(const std::vector<cell::task_id>& tasks) {
-  evict saved{{}, true, evict_reason::kReclaimed};
-  evict stopped{{}, false, evict_reason::kReclaimed};
+scheduler::impl::freed scheduler::impl::FreedBy(const cell::task_id& id,
+                                                std::int32_t w) const {
+  const job& owner = *jobs_.Find(id.job);
+  const core::resources& need = owner.tasks[id.index].need;
+  if (!std::holds_alternative<gang_work>(owner.w)) return {need, need};
+  freed f;
+  for (const task_slot& t : owner.tasks) {
+    if (t.state != slot_state::kHeld || t.evicting) continue;
+    f.anywhere = f.anywhere + t.need;
+    if (t.worker == w) f.on_worker = f.on_worker + t.need;
+  }
+  return f;
+}
+
+void scheduler::impl::Evict(const std::vector<cell::task_id>& tasks,
+                            evict_reason reason) {
+  evict saved{{}, true, reason};
+  evict stopped{{}, false, reason};
   for (const cell::task_id& id : tasks) {
     job& owner = *jobs_.Find(id.job);
     evict& e = owner.Checkpoints() ? saved : stopped;
@@ -285,20 +304,18 @@
   if (copies < j->waiting) return;
   // All tasks fit once what was lent has stopped.
   pool_.SetLending(false);
-  std::vector<cell::task_id> stop;
+  std::vector<cell::task_id> lent;
   for (const cell::task_id& id : tasks) {
-    job& owner = *jobs_.Find(id.job);
-    task_slot& t = owner.tasks[id.index];
-    // Earlier stops may have brought the department back to its quota.
-    if (!t.lent && !departments_.IsBorrowed(owner.department, t.need)) continue;
-    SetEvicting(owner, t, true);
-    stop.push_back(id);
+    if (FindSlot(id)->lent) lent.push_back(id);
   }
-  for (const cell::task_id& id : stop) {
-    job& owner = *jobs_.Find(id.job);
-    SetEvicting(owner, owner.tasks[id.index], false);
+  if (!lent.empty()) Evict(lent, evict_reason::kLent);
+  for (const cell::task_id& id : tasks) {
+    const task_slot& t = *FindSlot(id);
+    // Earlier stops may have brought the department back to its quota.
+    const std::int32_t d = jobs_.Find(id.job)->department;
+    if (t.evicting || !departments_.IsBorrowed(d, t.need)) continue;
+    Evict({id}, evict_reason::kReclaimed);
   }
-  if (!stop.empty()) Evict(stop);
 }
 
 }  // namespace mangoplank::placement
--- a/src/placement/observe.cpp
+++ b/src/placement/observe.cpp
@@ -30,6 +30,10 @@
           [&](const cell::object_deleted& e) { OnObjectDeleted(e.key, now); },
           [&](const cell::worker_changed& e) { OnWorker(e.now, now); },
           [&](const cell::worker_removed& e) {
+            const std::int32_t w = pool_.Intern(e.id);
+            if (const auto& kept = pool_.At(w).kept) {
+              DropPledge(*jobs_.Find(kept->job), w);
+            }
             pool_.Remove(e.id, e.incarnation);
           },
           [&](const cell::task_changed& e) { OnTask(e.now, now); },
--- a/src/placement/scheduler_impl.h
+++ b/src/placement/scheduler_impl.h
@@ -48,6 +48,12 @@
     std::int64_t cost = 0;
   };
 
+  /// Room that stopping a task, and with it its gang, frees.
+  struct freed {
+    core::resources anywhere;
+    core::resources on_worker;
+  };
+
   // Following the cell.
   void OnObject(const cell::object& o, core::time_point now);
   void OnObjectDeleted(const cell::object_key& key, core::time_point now);
@@ -99,8 +105,9 @@
   std::optional<victims> VictimsOn(std::int32_t w, const job& j,
                                    const core::resources& need,
                                    bool own_only) const;
+  freed FreedBy(const cell::task_id& id, std::int32_t w) const;
   bool MayEvict(const job& owner, const task_slot& t) const;
-  void Evict(const std::vector<cell::task_id>& tasks);
+  void Evict(const std::vector<cell::task_id>& tasks, evict_reason reason);
   void Pledge(job& j, std::int32_t w, const core::resources& need,
               core::time_point now);
   void DropPledge(job& j, std::int32_t w);
--- a/src/placement/worker_pool.cpp
+++ b/src/placement/worker_pool.cpp
@@ -139,7 +139,6 @@
   w.free = w.free - w.capacity;
   w.capacity = {};
   w.present = false;
-  w.kept.reset();
   Unindex(index);
 }
 
