--- a/include/mangoplank/cell/state.h
+++ b/include/mangoplank/cell/state.h
@@ -19,6 +19,9 @@
   std::uint64_t digest = 0;
   core::wall_time_ms at = 0;
   core::outcome<accepted> answer;
+
+  friend bool operator==(const answered_request&,
+                         const answered_request&) = default;
 };
 
 /// All values of a state, to be written to a snapshot.
@@ -33,8 +36,13 @@
     core::department_id caller;
     core::request_id id;
     answered_request kept;
+
+    friend bool operator==(const request_image&,
+                           const request_image&) = default;
   };
   std::vector<request_image> requests;
+
+  friend bool operator==(const state_image&, const state_image&) = default;
 };
 
 /// The replicated state of a cell. Apply is deterministic: the same commands
@@ -79,6 +87,8 @@
   std::map<call_key, call_record> calls_;
   std::unordered_map<core::worker_id, core::resources> committed_;
   std::unordered_map<core::worker_id, std::set<task_id>> tasks_of_worker_;
+  /// Calls without an outcome, by the worker that may run them.
+  std::unordered_map<core::worker_id, std::set<call_key>> open_calls_;
   std::map<std::pair<core::department_id, core::request_id>, answered_request>
       requests_;
 };
--- a/src/cell/apply_tasks.cpp
+++ b/src/cell/apply_tasks.cpp
@@ -133,6 +133,7 @@
 }
 
 void applier::LoseWorker(const worker_record& w) {
+  LoseCalls(w);
   const auto it = s_.tasks_of_worker_.find(w.id);
   if (it == s_.tasks_of_worker_.end()) return;
   const std::set<task_id> tasks = it->second;
@@ -167,7 +168,10 @@
     s_.objects_[key] = o;
     changes_.push_back(object_changed{o});
   }
-  w.drain = declared && std::get<worker_spec>(declared->spec).drain;
+  // A worker that says it is leaving drains without an operator's word.
+  const bool declared_drain =
+      declared && std::get<worker_spec>(declared->spec).drain;
+  w.drain = w.drain || declared_drain;
   s_.workers_[w.id] = w;
   changes_.push_back(worker_changed{w});
   return Accepted();
