--- a/src/calls/slot_allocator.cpp
+++ b/src/calls/slot_allocator.cpp
@@ -50,9 +50,79 @@
 /// An entry with no calls keeps room for a first one, so that it needs no
 /// message to control before it can serve it.
 constexpr std::int64_t kLeastDemand = 1;
-/// Entries in the worker's region weigh more than others, so that calls rarely
-/// cross a billed link.
-constexpr std::int64_t kOwnRegionFactor = 16;
+
+/// An entry's demand, and the slots that it is given of each worker.
+struct claim {
+  core::region_id region;
+  std::int64_t demand = 0;
+  /// Slots still to be given.
+  std::int64_t open = 0;
+  std::map<core::worker_id, std::int64_t> slots;
+};
+
+struct offer {
+  const cell::worker_record* w = nullptr;
+  std::int64_t free = 0;
+};
+
+std::int64_t FreeOf(const std::vector<offer>& offers) {
+  std::int64_t free = 0;
+  for (const offer& o : offers) free += o.free;
+  return free;
+}
+
+/// Takes `n` slots for a claim, one of each worker in turn from `first` on, so
+/// that an entry can reach many workers with few slots.
+void Take(claim* c, std::int64_t n, std::size_t first,
+          std::vector<offer>* offers) {
+  n = std::min({n, c->open, FreeOf(*offers)});
+  for (std::size_t i = first; n > 0; ++i) {
+    offer& o = (*offers)[i % offers->size()];
+    if (o.free == 0) continue;
+    --o.free;
+    --n;
+    --c->open;
+    ++c->slots[o.w->id];
+  }
+}
+
+/// Divides all slots of a service's workers among the entries: each has its
+/// part by demand, of workers in its own region as far as they go, since calls
+/// to others cross a billed link.
+void Divide(const worker_map& workers, std::vector<claim>* claims) {
+  std::vector<offer> all;
+  for (const auto& [id, w] : workers) all.push_back({w, w->slots});
+  std::vector<std::int64_t> demands;
+  for (const claim& c : *claims) demands.push_back(c.demand);
+  const std::int64_t total = FreeOf(all);
+  const auto entries = static_cast<std::int64_t>(claims->size());
+  const std::int64_t least = total >= entries ? kLeastDemand : 0;
+  const auto parts = Split(total - least * entries, demands);
+  for (std::size_t i = 0; i < claims->size(); ++i) {
+    (*claims)[i].open = parts[i] + least;
+  }
+  std::map<core::region_id, std::vector<offer>> regions;
+  for (const offer& o : all) regions[o.w->where.region].push_back(o);
+  std::vector<offer> left;
+  for (auto& [region, offers] : regions) {
+    std::vector<claim*> near;
+    std::vector<std::int64_t> open;
+    for (claim& c : *claims) {
+      if (c.region != region) continue;
+      near.push_back(&c);
+      open.push_back(c.open);
+    }
+    const auto shares = Split(FreeOf(offers), open);
+    for (std::size_t i = 0; i < near.size(); ++i) {
+      Take(near[i], shares[i], i * offers.size() / near.size(), &offers);
+    }
+    left.insert(left.end(), offers.begin(), offers.end());
+  }
+  for (std::size_t i = 0; i < claims->size(); ++i) {
+    claim& c = (*claims)[i];
+    Take(&c, c.open, i * left.size() / claims->size(), &left);
+  }
+}
 
 }  // namespace
 
@@ -138,19 +208,17 @@
   for (const auto& [key, unused] : services) {
     const cell::object* const service = s.Find(key);
     if (!service) continue;
-    for (const auto& [worker, serving] : ServingWorkers(s, *service)) {
-      std::vector<std::int64_t> weights;
-      std::size_t own = 0;
-      for (const auto& [name, e] : entries_) {
-        const auto it = e.demand.find(key);
-        const std::int64_t n =
-            std::max(kLeastDemand, it == e.demand.end() ? 0 : it->second);
-        const bool near = e.region == serving->where.region;
-        if (name == id) own = weights.size();
-        weights.push_back(n * (near ? kOwnRegionFactor : 1));
-      }
-      const std::int64_t share = Split(serving->slots, weights)[own];
-      wanted[worker] = std::max(wanted[worker], share);
+    std::vector<claim> claims;
+    std::size_t own = 0;
+    for (const auto& [name, e] : entries_) {
+      const auto it = e.demand.find(key);
+      const std::int64_t n = it == e.demand.end() ? 0 : it->second;
+      if (name == id) own = claims.size();
+      claims.push_back({.region = e.region, .demand = n + kLeastDemand});
+    }
+    Divide(ServingWorkers(s, *service), &claims);
+    for (const auto& [worker, slots] : claims[own].slots) {
+      wanted[worker] = std::max(wanted[worker], slots);
     }
   }
   return wanted;
--- a/src/calls/slot_allocator_test.cpp
+++ b/src/calls/slot_allocator_test.cpp
@@ -64,23 +64,55 @@
     return Sum(g);
   };
   EXPECT_EQ(round("x", &x), 8);
-  for (int i = 0; i < 3; ++i) {
-    now += 250ms;
-    round("x", &x);
-    round("y", &y);
-  }
+  const auto settle = [&] {
+    for (int i = 0; i < 3; ++i) {
+      now += 250ms;
+      round("x", &x);
+      round("y", &y);
+    }
+  };
+  settle();
   EXPECT_EQ(round("x", &x), 4);
   EXPECT_EQ(round("y", &y), 4);
-  y.demand[0].wanted = 7;
-  for (int i = 0; i < 3; ++i) {
-    now += 250ms;
-    round("x", &x);
-    round("y", &y);
-  }
+  y.demand[0].wanted = 100;
+  settle();
   EXPECT_EQ(round("x", &x), 1);
   EXPECT_EQ(round("y", &y), 7);
 }
 
+// Guards against an entry without any slot because all workers stand in
+// another region: it could not even answer a first call.
+TEST(SlotAllocatorTest, EachEntryHasASlotAndOwnRegionComesFirst) {
+  const cell::state s = Cell(4);
+  slot_allocator a({});
+  core::time_point now{};
+  a.Reset(1, now);
+  now += 10s;
+  std::map<std::string, control::slot_report> reports;
+  std::map<std::string, control::slot_grants> grants;
+  const std::map<std::string, core::region_id> regions = {
+      {"far", {"sieradz"}}, {"k", {"kalisz"}}, {"o", {"olesno"}}};
+  for (int i = 0; i < 4; ++i) {
+    for (const auto& [name, region] : regions) {
+      control::slot_report& r = reports[name];
+      r.t = 1;
+      r.demand = {{kService, name == "far" ? 0 : 30}};
+      grants[name] = a.Report({name}, region, r, s, now);
+      r.kept_sequence = grants[name].sequence;
+    }
+  }
+  EXPECT_GE(Sum(grants["far"]), 1);
+  for (const char* const name : {"k", "o"}) {
+    std::int64_t near = 0;
+    for (const auto& g : grants[name].grants) {
+      if (s.FindWorker(g.worker)->where.region == regions.at(name)) {
+        near += g.slots;
+      }
+    }
+    EXPECT_GE(near, Sum(grants[name]) - 1) << name;
+  }
+}
+
 /// An entry that keeps to the sets it hears of, and to leases.
 struct fake_entry {
   struct kept_set {
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -65,9 +65,9 @@
 };
 
 /// All parts of a control process.
-class control_process {
+class control_parts {
  public:
-  explicit control_process(const settings::values& v)
+  explicit control_parts(const settings::values& v)
       : v_(v),
         clock_(io_.get_executor()),
         history_(static_cast<std::size_t>(v.Integer("history", "bytes"))),
@@ -214,7 +214,7 @@
 }  // namespace
 
 process::exit_code RunControl(const settings::values& v) {
-  return control_process(v).Run();
+  return control_parts(v).Run();
 }
 
 }  // namespace mangoplank::control
