--- a/src/control/leader_client_test.cpp
+++ b/src/control/leader_client_test.cpp
@@ -3,7 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "mangoplank/wire/codec.h"
 #include "wire/loop_test_support.h"
