Tests of api and ctl over loopback; a stop no longer waits for its deadline

Cause: a stop that came just after a response found the connection not idle, so that it waited for the idle time of 60 s and was cut at the stop's deadline. Change: while stopping, a connection waits for a next request only until the linger time.

--- /dev/null
+++ b/src/api/bad_input_test.cpp
@@ -0,0 +1,261 @@
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+
+#include "api/test_cell.h"
+
+namespace mangoplank::api {
+namespace {
+
+using fakes::answer;
+using fakes::kAdmin;
+using fakes::kKitchens;
+using fakes::kWorker;
+using fakes::raw_client;
+using fakes::test_cell;
+
+constexpr const char* kServices = "/v1/departments/kitchens/services";
+
+std::string TypeOf(const answer& a) {
+  const auto v = boost::json::parse(a.body);
+  return std::string(v.at("type").as_string());
+}
+
+/// @return the names of the fields that a problem lists.
+std::vector<std::string> FieldsOf(const answer& a) {
+  std::vector<std::string> out;
+  const auto v = boost::json::parse(a.body);
+  for (const auto& f : v.at("fields").as_array()) {
+    out.emplace_back(f.at("field").as_string());
+  }
+  return out;
+}
+
+std::string Put(const std::string& spec) { return R"({"spec":)" + spec + "}"; }
+
+/// Limits that a test can reach soon.
+server_limits ShortLimits() {
+  server_limits l;
+  l.header_bytes = 2048;
+  l.body_bytes = 4096;
+  l.idle_time = core::milliseconds(5'000);
+  l.header_time = core::milliseconds(150);
+  l.body_time = core::milliseconds(150);
+  l.linger_time = core::milliseconds(100);
+  return l;
+}
+
+// Guards against a body that is half understood: each wrong field is named and
+// nothing is changed.
+TEST(BadInputTest, NamesEachWrongField) {
+  test_cell cell;
+  raw_client c(cell.at);
+  const auto put = [&](const std::string& spec) {
+    return c.Send("PUT", std::string(kServices) + "/planner", kKitchens,
+                  Put(spec));
+  };
+  using names = std::vector<std::string>;
+  answer a = put(R"({"replicas":"2","need":{"cpu_milli":1.5},"x":1})");
+  EXPECT_EQ(a.status, 400u);
+  EXPECT_EQ(TypeOf(a), "urn:mangoplank:problem:invalid-request");
+  EXPECT_EQ(FieldsOf(a),
+            (names{"spec.replicas", "spec.need.cpu_milli", "spec.x"}));
+  EXPECT_EQ(FieldsOf(put(R"({"replicas":-1,"need":{"cpu_milli":-5}})")),
+            (names{"spec.replicas", "spec.need.cpu_milli", "spec.need"}));
+  EXPECT_EQ(FieldsOf(put(R"({"replicas":99999999999999999999,)"
+                         R"("need":{"cpu_milli":18446744073709551615}})")),
+            (names{"spec.replicas", "spec.need.cpu_milli"}));
+  EXPECT_EQ(FieldsOf(put(R"({"urgency":"soon","where":7,"operations":{}})")),
+            (names{"spec.urgency", "spec.where", "spec.operations"}));
+  EXPECT_EQ(FieldsOf(put(R"({"operations":[{"name":"a","deadline_ms":-1},)"
+                         R"({"idempotent":1}]})")),
+            (names{"spec.operations[0].deadline_ms", "spec.operations[1].name",
+                   "spec.operations[1].idempotent"}));
+  cell.OnCell([&] { EXPECT_EQ(cell.client.state.Objects().size(), 2u); });
+}
+
+// Guards against a parser that takes part of a malformed body.
+TEST(BadInputTest, RefusesMalformedJson) {
+  test_cell cell;
+  raw_client c(cell.at);
+  const std::string deep(1000, '[');
+  for (const std::string& body :
+       {std::string(), std::string("{"), std::string("[]"), std::string("7"),
+        std::string(R"({"spec":{}} x)"), std::string("{\"spec\":\"\xff\"}"),
+        deep, std::string(R"({"kind":"batch_job","spec":{}})"),
+        std::string(R"({"name":"other","spec":{}})")}) {
+    const answer a =
+        c.Send("PUT", std::string(kServices) + "/planner", kKitchens, body);
+    EXPECT_EQ(a.status, 400u) << body;
+  }
+}
+
+// Guards against names that leave their place in the path or the store.
+TEST(BadInputTest, RefusesOddNames) {
+  test_cell cell;
+  raw_client c(cell.at);
+  const std::string need = Put(R"({"need":{"cpu_milli":1}})");
+  for (const std::string& name :
+       {std::string("Planner"), std::string("-a"), std::string("%2e%2e"),
+        std::string("a%00b"), std::string("a%2fb"), std::string("%zz"),
+        std::string("a%20b"), std::string(64, 'a'), std::string("%c3%a9")}) {
+    const answer a =
+        c.Send("PUT", std::string(kServices) + "/" + name, kKitchens, need);
+    EXPECT_EQ(a.status, 400u) << name;
+  }
+  EXPECT_EQ(
+      c.Send("PUT", "/v1/departments/kitchens/services//x", kKitchens, need)
+          .status,
+      400u);
+  EXPECT_EQ(
+      c.Send("GET", std::string(kServices) + "?limit=0", kKitchens).status,
+      400u);
+  EXPECT_EQ(
+      c.Send("GET", std::string(kServices) + "?unknown=1", kKitchens).status,
+      400u);
+  EXPECT_EQ(c.Send("GET", "/v1/departments/kitchens/tables", kKitchens).status,
+            404u);
+  EXPECT_EQ(c.Send("BREW", std::string(kServices) + "/x", kKitchens).status,
+            405u);
+}
+
+// Guards against HTTP that is not understood but answered with a success, or
+// not answered.
+TEST(BadInputTest, RefusesMalformedHttp) {
+  test_cell cell;
+  for (const char* const text :
+       {"nonsense\r\n\r\n", "GET / HTTP/9.9\r\n\r\n",
+        "GET /healthz HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        "POST /healthz HTTP/1.1\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "POST /healthz HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
+    raw_client c(cell.at);
+    c.Write(text);
+    const answer a = c.Read();
+    EXPECT_EQ(a.status, 400u) << text;
+    EXPECT_EQ(a.headers.at("mangoplank-outcome"), "not_run");
+    EXPECT_TRUE(c.Closed());
+  }
+}
+
+// Guards against a client that takes memory without limit.
+TEST(BadInputTest, LimitsHeaderAndBody) {
+  test_cell cell(ShortLimits());
+  raw_client big_header(cell.at);
+  big_header.Write("GET /healthz HTTP/1.1\r\nX: " + std::string(4000, 'x') +
+                   "\r\n\r\n");
+  EXPECT_EQ(big_header.Read().status, 431u);
+
+  raw_client big_body(cell.at);
+  const answer a = big_body.Send("PUT", std::string(kServices) + "/planner",
+                                 kKitchens, std::string(5000, ' '));
+  EXPECT_EQ(a.status, 413u);
+  EXPECT_EQ(TypeOf(a), "urn:mangoplank:problem:body-too-large");
+
+  raw_client chunked(cell.at);
+  chunked.Write(
+      "PUT /healthz HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1400\r\n" +
+      std::string(0x1400, ' ') + "\r\n0\r\n\r\n");
+  EXPECT_EQ(chunked.Read().status, 413u);
+
+  // The client asks first, so the body must not be asked for.
+  raw_client asks(cell.at);
+  asks.Write(
+      "PUT /healthz HTTP/1.1\r\nExpect: 100-continue\r\n"
+      "Content-Length: 5000\r\n\r\n");
+  EXPECT_EQ(asks.Read().status, 413u);
+}
+
+// Guards against a slow sender that holds its connection for ever.
+TEST(BadInputTest, LimitsTheTimeOfARequest) {
+  test_cell cell(ShortLimits());
+  raw_client slow_header(cell.at);
+  slow_header.Write("GET /healthz HTTP/1.1\r\n");
+  EXPECT_EQ(slow_header.Read().status, 408u);
+  raw_client slow_body(cell.at);
+  slow_body.Write("PUT /healthz HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  EXPECT_EQ(slow_body.Read().status, 408u);
+  raw_client half(cell.at);
+  half.Write("PUT /healthz HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  half.HalfClose();
+  EXPECT_EQ(half.Read().status, 400u);
+}
+
+// Guards against idle connections that lock out clients with a request.
+TEST(BadInputTest, ClosesTheOldestIdleConnectionWhenFull) {
+  server_limits l = ShortLimits();
+  l.connections = 4;
+  test_cell cell(l);
+  std::vector<std::unique_ptr<raw_client>> idle;
+  for (int i = 0; i < 4; ++i) {
+    idle.push_back(std::make_unique<raw_client>(cell.at));
+    ASSERT_EQ(idle.back()->Send("GET", "/healthz", "").status, 200u);
+  }
+  raw_client late(cell.at);
+  EXPECT_EQ(late.Send("GET", "/healthz", "").status, 200u);
+  EXPECT_TRUE(idle[0]->Closed());
+  EXPECT_EQ(idle[3]->Send("GET", "/healthz", "").status, 200u);
+}
+
+// Guards against a full entry that accepts and then says nothing.
+TEST(BadInputTest, RefusesWhenAllConnectionsAreBusy) {
+  server_limits l = ShortLimits();
+  l.connections = 1;
+  l.header_time = core::milliseconds(2'000);
+  test_cell cell(l);
+  raw_client busy(cell.at);
+  ASSERT_EQ(busy.Send("GET", "/healthz", "").status, 200u);
+  busy.Write("GET /healthz HTTP/1.1\r\n");
+  cell.OnCell([] {});
+  raw_client late(cell.at);
+  const answer a = late.Read();
+  EXPECT_EQ(a.status, 503u);
+  EXPECT_EQ(a.headers.at("retry-after"), "1");
+  busy.Write("\r\n");
+  EXPECT_EQ(busy.Read().status, 200u);
+}
+
+// Guards against an announcement with fields that would be committed unread.
+TEST(BadInputTest, ChecksAnnouncements) {
+  test_cell cell;
+  raw_client c(cell.at);
+  const auto announce = [&](const std::string& body) {
+    return c.Send("POST", "/v1/workers/w1/announce", kWorker, body);
+  };
+  const answer a = announce(R"({"incarnation":-1,"sequence":1,)"
+                            R"("address":"x","region":"","rack":"r",)"
+                            R"("data_centre":"d","capacity":[],"slots":"8"})");
+  EXPECT_EQ(FieldsOf(a),
+            (std::vector<std::string>{"incarnation", "capacity", "slots"}));
+  const answer b = announce(
+      R"({"incarnation":1,"sequence":1,"address":"host:1","region":"k",)"
+      R"("data_centre":"k-1","rack":"r1","capacity":{"cpu_milli":-1},)"
+      R"("tasks":[{"job":1,"index":0,"attempt":1,"phase":"waiting"}]})");
+  EXPECT_EQ(FieldsOf(b), (std::vector<std::string>{"address", "capacity",
+                                                   "tasks[0].phase"}));
+  cell.OnCell([&] { EXPECT_TRUE(cell.announcer.seen.empty()); });
+}
+
+// Guards against requests whose limits are tested only one at a time: random
+// bytes must never end the server.
+TEST(BadInputTest, SurvivesRandomBytes) {
+  test_cell cell(ShortLimits());
+  std::uint32_t seed = 12345;
+  for (int i = 0; i < 200; ++i) {
+    std::string bytes = i % 2 == 0 ? "PUT /v1/workers/a HTTP/1.1\r\n" : "";
+    for (int j = 0; j < 64; ++j) {
+      seed = seed * 1664525 + 1013904223;
+      bytes += static_cast<char>(seed >> 24);
+    }
+    raw_client c(cell.at);
+    c.Write(bytes);
+    c.HalfClose();
+    const unsigned status = c.Read().status;
+    EXPECT_TRUE(status == 0 || (status >= 400 && status < 500)) << status;
+  }
+  raw_client c(cell.at);
+  EXPECT_EQ(c.Send("GET", "/healthz", "").status, 200u);
+}
+
+}  // namespace
+}  // namespace mangoplank::api
--- a/src/api/connection.cpp
+++ b/src/api/connection.cpp
@@ -119,12 +119,22 @@
 core::awaitable<void> connection::Run() {
   bool open = true;
   while (open) {
-    open = co_await WaitForRequest();
-    if (open) open = co_await ServeOne();
+    const bool has_request = co_await WaitForRequest();
+    // All responses were sent and followed by a wait, so there is nothing to
+    // linger for.
+    if (!has_request) co_return;
+    open = co_await ServeOne();
   }
   co_await Linger();
 }
 
+core::milliseconds connection::IdleTime() const {
+  if (!e_.stopping) return e_.limits.idle_time;
+  const auto left =
+      std::chrono::ceil<core::milliseconds>(e_.idle_end - e_.clock.Now());
+  return std::max(left, core::milliseconds(0));
+}
+
 core::awaitable<void> connection::RunRefused() {
   response r = RefusalResponse(503, "too-many-connections",
                                "The entry has no free connection",
@@ -136,7 +146,7 @@
 
 core::awaitable<bool> connection::WaitForRequest() {
   if (buffer_.size() > 0) co_return true;
-  const time_limit limit(e_.clock, socket_, e_.limits.idle_time,
+  const time_limit limit(e_.clock, socket_, IdleTime(),
                          time_limit::side::kReceive);
   idle_since_ = e_.clock.Now();
   const auto space = buffer_.prepare(kReadBytes);
--- a/src/api/connection.h
+++ b/src/api/connection.h
@@ -43,6 +43,9 @@
     metrics::histogram& duration;
     /// Responses close their connections.
     bool stopping = false;
+    /// While stopping: until then a connection waits for a request that may be
+    /// on its way.
+    core::time_point idle_end{};
   };
 
   connection(socket s, environment& e);
@@ -64,6 +67,7 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   core::awaitable<bool> WaitForRequest();
+  core::milliseconds IdleTime() const;
   /// @return whether the connection stays open.
   core::awaitable<bool> ServeOne();
   core::awaitable<bool> ReadHeader(parser& p);
--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -173,12 +173,11 @@
                                    core::time_point deadline) {
   const std::shared_ptr<impl> self = impl_;
   self->e.stopping = true;
+  self->e.idle_end = std::min(self->e.clock.Now() + linger, deadline);
   self->AcceptRest();
   error_code ignored;
   self->acceptor.close(ignored);
-  const core::time_point idle_end =
-      std::min(self->e.clock.Now() + linger, deadline);
-  co_await self->WaitUntilEmpty(idle_end);
+  co_await self->WaitUntilEmpty(self->e.idle_end);
   for (connection* const c : self->connections) c->CloseIdle();
   co_await self->WaitUntilEmpty(deadline);
   for (connection* const c : self->connections) c->Abort();
--- a/src/ctl/session_test.cpp
+++ b/src/ctl/session_test.cpp
@@ -112,5 +112,232 @@
   EXPECT_NE(r.out.find("planner  3"), std::string::npos) << r.out;
 }
 
+// Guards against an apply that changes some objects before it finds that a file
+// is wrong.
+TEST_F(SessionTest, ChecksAllFilesBeforeItSends) {
+  Write("a.json", kPlanner);
+  Write("b.json", R"({"kind":"service","name":"x","spec":{"replica":1}})");
+  Write("c.json", "{");
+  Write("d.json", R"({"kind":"table"})");
+  const ran r = Run({"apply", "-f", folder_});
+  EXPECT_EQ(r.code, exit_code::kUsage);
+  for (const char* const part : {"b.json: spec.replica", "c.json", "d.json"}) {
+    EXPECT_NE(r.err.find(part), std::string::npos) << r.err;
+  }
+  EXPECT_EQ(Run({"get", "service", "planner"}).code, exit_code::kNotFound);
+  Write("c.json", kPlanner);
+  EXPECT_NE(Run({"apply", "-f", folder_}).err.find("also declared"),
+            std::string::npos);
+  EXPECT_EQ(Run({"apply", "-f", folder_ + "/none"}).code, exit_code::kUsage);
+}
+
+// Guards against a prune that deletes other kinds or departments, and a dry run
+// that deletes.
+TEST_F(SessionTest, PruneKeepsToKindsAndDepartmentsPresent) {
+  const std::string file = Write("a.json", kPlanner);
+  ASSERT_EQ(Run({"apply", "-f", file}).code, exit_code::kOk);
+  ASSERT_EQ(Run({"apply", "-f", Write("j.json", kJob)}).code, exit_code::kOk);
+  ASSERT_EQ(Run({"apply", "-d", "tally", "-f", file}, kTally).code,
+            exit_code::kOk);
+  const std::string other =
+      Write("b.json",
+            R"({"kind":"service","name":"b","spec":{"need":{"cpu_milli":1}}})");
+  ran r = Run({"apply", "-f", other, "--prune", "--dry-run"});
+  EXPECT_NE(r.out.find("planner deleted (dry run)"), std::string::npos)
+      << r.out;
+  EXPECT_EQ(Run({"get", "service", "planner"}).code, exit_code::kOk);
+  r = Run({"apply", "-f", other, "--prune"});
+  EXPECT_EQ(r.code, exit_code::kOk) << r.err;
+  EXPECT_EQ(Run({"get", "service", "planner"}).code, exit_code::kNotFound);
+  EXPECT_EQ(Run({"get", "batch_job", "sheets"}).code, exit_code::kOk);
+  EXPECT_EQ(Run({"get", "service", "planner", "-d", "tally"}, kTally).code,
+            exit_code::kOk);
+}
+
+// Guards against an apply that undoes a change made since the declaration.
+TEST_F(SessionTest, ApplyOfAnOldVersionConflicts) {
+  ASSERT_EQ(Run({"apply", "-f", Write("a.json", kPlanner)}).code,
+            exit_code::kOk);
+  const ran got = Run({"get", "service", "planner", "-o", "json"});
+  const std::string old = Write("old.json", got.out);
+  Write("a.json", R"({"kind":"service","name":"planner","spec":{"replicas":7,)"
+                  R"("need":{"cpu_milli":500,"memory_mib":64}}})");
+  ASSERT_EQ(Run({"apply", "-f", folder_ + "/a.json"}).code, exit_code::kOk);
+  EXPECT_EQ(Run({"apply", "-f", old}).code, exit_code::kConflict);
+  EXPECT_EQ(Run({"delete", "service", "planner", "--if-version", "1"}).code,
+            exit_code::kConflict);
+  EXPECT_EQ(Run({"delete", "service", "planner"}).code, exit_code::kOk);
+}
+
+// Guards against a lost answer that is reported as a failure or makes the
+// change twice.
+TEST_F(SessionTest, SendsAgainUnderTheSameRequestId) {
+  cell_.OnCell([&] { cell_.client.loses = core::commit_unknown{}; });
+  const std::string file = Write("j.json", kJob);
+  EXPECT_EQ(Run({"run", "-f", file, "--no-wait"}).code,
+            exit_code::kOutcomeUnknown);
+  cell_.OnCell([&] {
+    cell_.client.loses.reset();
+    EXPECT_EQ(cell_.client.state.Objects().size(), 3u);
+  });
+  cell_.OnCell([&] { cell_.client.fails = core::unavailable{"no leader"}; });
+  EXPECT_EQ(Run({"get", "batch_job"}).code, exit_code::kUnavailable);
+  EXPECT_EQ(Run({"delete", "batch_job", "sheets"}).code,
+            exit_code::kUnavailable);
+}
+
+/// Ends all tasks of the job with a phase.
+void EndTasks(test_cell& cell, cell::task_phase phase) {
+  cell::worker_record w;
+  w.id.v = "w1";
+  w.incarnation = 1;
+  w.capacity = {64'000, 1024, 0};
+  cell.OnCell([&] {
+    cell::command c;
+    c.body = cell::register_worker{w};
+    cell.client.Apply(c);
+    const auto tasks = cell.client.state.Tasks();
+    for (const auto& [id, t] : tasks) {
+      c.body = cell::place_tasks{{{{id, w.id, 1}}}};
+      cell.client.Apply(c);
+      c.body = cell::report_tasks{{{id, 1, cell::task_phase::kRunning, ""}}};
+      cell.client.Apply(c);
+      c.body = cell::report_tasks{{{id, 1, phase, ""}}};
+      cell.client.Apply(c);
+    }
+  });
+}
+
+// Guards against a run that returns before the end, or with the wrong code.
+TEST_F(SessionTest, RunWaitsForTheEnd) {
+  const std::string file = Write("j.json", kJob);
+  std::thread worker([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    EndTasks(cell_, cell::task_phase::kSucceeded);
+  });
+  const ran r = Run({"run", "-f", file});
+  worker.join();
+  EXPECT_EQ(r.code, exit_code::kOk) << r.err;
+  EXPECT_NE(r.err.find("1 waiting"), std::string::npos) << r.err;
+  EXPECT_NE(r.err.find("1 succeeded"), std::string::npos) << r.err;
+  EXPECT_EQ(Run({"run", "-f", file}).code, exit_code::kConflict);
+  EXPECT_EQ(Run({"run", "-f", Write("s.json", kPlanner)}).code,
+            exit_code::kUsage);
+}
+
+// Guards against exit codes that do not tell the four outcomes apart.
+TEST_F(SessionTest, CallEndsWithItsOutcome) {
+  using cell::ending;
+  const auto call = [&](ending e, calls::end_reason why) {
+    cell_.OnCell([&] { cell_.runner.next = {e, why, "text"}; });
+    return Run({"call", "planner", "book", "--key", "k", "--body", "-"},
+               kKitchens, "two meals");
+  };
+  ran r = call(ending::kDone, calls::end_reason::kNone);
+  EXPECT_EQ(r.code, exit_code::kOk);
+  EXPECT_EQ(r.out, "text");
+  EXPECT_EQ(call(ending::kFailed, calls::end_reason::kWorkerError).code,
+            exit_code::kWorkFailed);
+  EXPECT_EQ(call(ending::kNotRun, calls::end_reason::kOverloaded).code,
+            exit_code::kUnavailable);
+  EXPECT_EQ(call(ending::kNotRun, calls::end_reason::kUnknownService).code,
+            exit_code::kNotFound);
+  r = call(ending::kOutcomeUnknown, calls::end_reason::kConnection);
+  EXPECT_EQ(r.code, exit_code::kOutcomeUnknown);
+  EXPECT_NE(r.err.find("--ask --key k"), std::string::npos) << r.err;
+  cell_.OnCell([&] {
+    EXPECT_EQ(cell_.runner.seen.size(), 5u);
+    EXPECT_EQ(cell_.runner.seen[0].body, "two meals");
+    cell_.runner.known[{{"kitchens"}, "planner", "k"}] = {
+        ending::kDone, calls::end_reason::kNone, "late"};
+  });
+  r = Run({"call", "planner", "--ask", "--key", "k"});
+  EXPECT_EQ(r.code, exit_code::kOk);
+  EXPECT_EQ(r.out, "late");
+}
+
+// Guards against a rollout that looks complete while replicas or entries lag.
+TEST_F(SessionTest, RolloutStatusCountsGenerationsAndEntries) {
+  ASSERT_EQ(Run({"apply", "-f", Write("a.json", kPlanner)}).code,
+            exit_code::kOk);
+  cell::task_record t;
+  t.phase = cell::task_phase::kRunning;
+  t.generation = 1;
+  cell_.OnCell([&] { cell_.client.explanation.tasks = {t}; });
+  const std::vector<std::string> status{"rollout", "status", "service",
+                                        "planner"};
+  EXPECT_EQ(Run(status).code, exit_code::kWorkFailed);
+  cell_.OnCell([&] { cell_.client.explanation.tasks = {t, t}; });
+  EXPECT_EQ(Run(status).code, exit_code::kOk);
+
+  cell_.Put({cell::object_kind::kConfiguration, {}, "limits"},
+            cell::configuration_spec{{{"a", "b"}}});
+  cell_.OnCell([&] {
+    cell_.client.status.entries = {{{"e1"}, {"kalisz"}, 1}};
+  });
+  const std::vector<std::string> limits{"rollout", "status", "configuration",
+                                        "limits"};
+  EXPECT_EQ(Run(limits, kAdmin).code, exit_code::kWorkFailed);
+  cell_.OnCell([&] { cell_.client.status.entries[0].in_force = 99; });
+  EXPECT_EQ(Run(limits, kAdmin).code, exit_code::kOk);
+  EXPECT_EQ(Run({"top"}, kAdmin).code, exit_code::kOk);
+}
+
+// Guards against a watch that stops at the first lost connection.
+TEST_F(SessionTest, WatchResumesUntilNoEntryAnswers) {
+  ASSERT_EQ(Run({"apply", "-f", Write("a.json", kPlanner)}).code,
+            exit_code::kOk);
+  std::thread stop([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    cell_.Stop(core::milliseconds(0));
+  });
+  const ran r = Run({"watch", "services"});
+  stop.join();
+  EXPECT_EQ(r.code, exit_code::kUnavailable);
+  EXPECT_NE(r.out.find("planner changed"), std::string::npos) << r.out;
+}
+
+// Guards against refusals that all look alike to a script.
+TEST_F(SessionTest, ExitCodesTellRefusalsApart) {
+  EXPECT_EQ(Run({"get", "service", "none"}).code, exit_code::kNotFound);
+  EXPECT_EQ(Run({"get", "services"}, "wrong").code, exit_code::kNotAllowed);
+  EXPECT_EQ(Run({"drain", "w1"}, kViewer).code, exit_code::kNotAllowed);
+  EXPECT_EQ(Run({"explain", "service", "none"}).code, exit_code::kNotFound);
+  EXPECT_EQ(RunAt({"127.0.0.1", 1}, kViewer, {"get", "services"}).code,
+            exit_code::kUnavailable);
+}
+
+// Guards against a wrong command line that is sent, or help that is missing.
+TEST_F(SessionTest, WrongCommandLinesAreNotSent) {
+  for (const std::vector<std::string>& wrong :
+       {std::vector<std::string>{},
+        {"frob"},
+        {"get"},
+        {"get", "tables"},
+        {"get", "services", "a", "b"},
+        {"apply"},
+        {"describe", "service"},
+        {"call", "planner"},
+        {"call", "planner", "--ask"},
+        {"drain"},
+        {"rollout", "start", "service", "x"},
+        {"get", "services", "--frob"},
+        {"get", "services", "-o", "xml"},
+        {"get", "services", "-s", "host:1"},
+        {"get", "services", "--timeout-ms", "0"},
+        {"get", "services", "--timeout-ms", "x"},
+        {"get", "services", "--token-file", "/nonexistent"}}) {
+    EXPECT_EQ(Run(wrong).code, exit_code::kUsage);
+  }
+  EXPECT_NE(Run({"--version"}).out.find("mangoplank-ctl"), std::string::npos);
+  for (const char* const verb :
+       {"apply", "diff", "get", "describe", "watch", "explain", "drain",
+        "undrain", "cancel", "delete", "run", "call", "rollout", "top"}) {
+    const ran r = Run({verb, "--help"});
+    EXPECT_EQ(r.code, exit_code::kOk);
+    EXPECT_NE(r.out.find("Exit codes"), std::string::npos) << verb;
+  }
+}
+
 }  // namespace
 }  // namespace mangoplank::ctl
