Write the JSON of a recording from one pool of memory

Cause: an entry writes its recording between calls. With 200 objectives that had calls in each bucket (a trial program on a loaded machine) the copy and the JSON took 50 ms and 300 ms of wall time and 4.9 MB. Change: values come from a monotonic resource, and a histogram is written as one run of counts instead of pairs. The reader follows the format.

--- a/src/report/cells.cpp
+++ b/src/report/cells.cpp
@@ -69,11 +69,11 @@
 }
 
 const std::vector<std::string>& Heads() {
-  static const std::vector<std::string> heads{
+  static const std::vector<std::string> kHeads{
       "verdict", "objective", "operation", "target", "within",
       "5m",      "30m",       "1h",        "6h",     "3d",
       "left",    "calls",     "p50",       "p99",    "largest cause"};
-  return heads;
+  return kHeads;
 }
 
 std::vector<std::string> Row(const objective_status& s) {
--- a/src/report/json_read.cpp
+++ b/src/report/json_read.cpp
@@ -192,30 +192,27 @@
   return all;
 }
 
-result<void> ReadCount(const json::value& v, const std::string& path,
-                       std::vector<std::uint64_t>* counts) {
-  BOOST_LEAF_AUTO(pair, Array(v, 2, path));
-  if (pair->size() != 2) return Invalid(path, "must have 2 items");
-  BOOST_LEAF_AUTO(position,
-                  Number((*pair)[0], 0, counts->size() - 1, path + "[0]"));
-  BOOST_LEAF_ASSIGN((*counts)[position],
-                    Number((*pair)[1], 1, kMaxCount, path + "[1]"));
-  return {};
+/// Reads the counts from position `first` on.
+result<void> ReadCounts(const fields& f, std::vector<std::uint64_t>* counts) {
+  BOOST_LEAF_AUTO(first, f.Number("first", 0, counts->size()));
+  BOOST_LEAF_AUTO(items, f.Array("counts", counts->size() - first));
+  std::uint64_t* next = counts->data() + first;
+  return Each(
+      *items, f.Path("counts"),
+      [&](const json::value& item, const std::string& at) -> result<void> {
+        BOOST_LEAF_ASSIGN(*next++, Number(item, 0, kMaxCount, at));
+        return {};
+      });
 }
 
 result<void> ReadLatency(const json::value& v, const std::string& path,
                          std::map<bucket_index, metrics::histogram>* into) {
   BOOST_LEAF_AUTO(object, Object(v, path));
   const fields f(*object, path);
-  BOOST_LEAF_CHECK(f.Only({"bucket", "counts", "sum_us", "max_us"}));
+  BOOST_LEAF_CHECK(f.Only({"bucket", "first", "counts", "sum_us", "max_us"}));
   BOOST_LEAF_AUTO(index, f.Number("bucket", 0, kMaxIndex));
   metrics::histogram::content c = metrics::histogram().Content();
-  BOOST_LEAF_AUTO(counts, f.Array("counts", c.counts.size()));
-  BOOST_LEAF_CHECK(
-      Each(*counts, f.Path("counts"),
-           [&](const json::value& item, const std::string& at) -> result<void> {
-             return ReadCount(item, at, &c.counts);
-           }));
+  BOOST_LEAF_CHECK(ReadCounts(f, &c.counts));
   BOOST_LEAF_ASSIGN(c.sum_us, f.Number("sum_us", 0, kMaxCount));
   BOOST_LEAF_ASSIGN(c.max_us, f.Number("max_us", 0, kMaxCount));
   const auto h = metrics::histogram::FromContent(c);
@@ -276,7 +273,8 @@
                    fmt::format("must be at most {} bytes", kMaxRecordingBytes));
   }
   json::error_code ec;
-  const json::value v = json::parse(text, ec);
+  json::monotonic_resource memory;
+  const json::value v = json::parse(text, ec, &memory);
   if (ec) return Invalid("", "is not JSON: " + ec.message());
   BOOST_LEAF_AUTO(object, Object(v, ""));
   const fields f(*object, "");
--- a/src/report/json_test.cpp
+++ b/src/report/json_test.cpp
@@ -38,7 +38,7 @@
       R"("sources":[{"entry":"e","incarnation":1,"region":"r","taken_ms":5,)"
       R"("dropped":0,"series":[{"department":"d","service":"s",)"
       R"("operation":"o","minutes":[[1,2,0,0,0,0]],"ten_minutes":[],)"
-      R"("latency":[{"bucket":1,"counts":[[0,2]],"sum_us":4,"max_us":2}]}]}]})";
+      R"("latency":[{"bucket":1,"first":70,"counts":[1,2],"sum_us":4,"max_us":2}]}]}]})";
   ASSERT_TRUE(Read(good));
   const std::string series = "sources[0].series[0]";
   const struct {
@@ -61,7 +61,10 @@
       {R"([1,2,0,0,0,0])", R"([1,2,0,0,0,0],[1,2,0,0,0,0])",
        series + ".minutes[1]"},
       {R"("ten_minutes":[])", R"("ten_minutes":{})", series + ".ten_minutes"},
-      {R"([0,2])", R"([72,2])", series + ".latency[0].counts[0][0]"},
+      {R"("first":70)", R"("first":71)", series + ".latency[0].counts"},
+      {R"("first":70)", R"("first":73)", series + ".latency[0].first"},
+      {R"("counts":[1,2])", R"("counts":[1,-2])",
+       series + ".latency[0].counts[1]"},
   };
   for (const auto& c : cases) {
     std::string text = good;
--- a/src/report/json_write.cpp
+++ b/src/report/json_write.cpp
@@ -9,65 +9,85 @@
 
 namespace {
 
-json::object Write(const operation_key& k) {
-  return {{"department", k.department.v},
-          {"service", k.service},
-          {"operation", k.operation}};
+json::object Write(const operation_key& k, const json::storage_ptr& memory) {
+  json::object out(memory);
+  out["department"] = k.department.v;
+  out["service"] = k.service;
+  out["operation"] = k.operation;
+  return out;
 }
 
-json::object Write(const objective& o) {
-  json::object out = Write(o.key);
+json::object Write(const objective& o, const json::storage_ptr& memory) {
+  json::object out = Write(o.key, memory);
   out["name"] = o.name;
   out["target_ppm"] = o.target_ppm;
   out["threshold_ms"] = o.threshold.count();
   return out;
 }
 
-json::array Write(const std::map<bucket_index, tally>& buckets) {
-  json::array all;
+json::array Write(const std::map<bucket_index, tally>& buckets,
+                  const json::storage_ptr& memory) {
+  json::array all(memory);
+  all.reserve(buckets.size());
   for (const auto& [index, t] : buckets) {
-    json::array one{index};
+    json::array one(memory);
+    one.reserve(1 + kResults);
+    one.emplace_back(index);
     for (const std::uint64_t n : t.counts) one.emplace_back(n);
     all.push_back(std::move(one));
   }
   return all;
 }
 
-/// Writes the buckets that have samples, as pairs of position and count.
-json::array WriteCounts(const std::vector<std::uint64_t>& counts) {
-  json::array all;
-  for (std::size_t i = 0; i < counts.size(); ++i) {
-    if (counts[i] != 0) all.push_back(json::array{i, counts[i]});
-  }
-  return all;
+/// Writes the counts from the first to the last that is not 0.
+json::object Write(bucket_index index, const metrics::histogram& h,
+                   const json::storage_ptr& memory) {
+  const metrics::histogram::content c = h.Content();
+  std::size_t first = 0;
+  std::size_t end = c.counts.size();
+  while (first < end && c.counts[first] == 0) ++first;
+  while (end > first && c.counts[end - 1] == 0) --end;
+  json::array counts(memory);
+  counts.reserve(end - first);
+  for (std::size_t i = first; i < end; ++i) counts.emplace_back(c.counts[i]);
+  json::object out(memory);
+  out["bucket"] = index;
+  out["first"] = first;
+  out["counts"] = std::move(counts);
+  out["sum_us"] = c.sum_us;
+  out["max_us"] = c.max_us;
+  return out;
 }
 
-json::array Write(const std::map<bucket_index, metrics::histogram>& latency) {
-  json::array all;
-  for (const auto& [index, h] : latency) {
-    const metrics::histogram::content c = h.Content();
-    all.push_back(json::object{{"bucket", index},
-                               {"counts", WriteCounts(c.counts)},
-                               {"sum_us", c.sum_us},
-                               {"max_us", c.max_us}});
-  }
+json::array Write(const std::map<bucket_index, metrics::histogram>& latency,
+                  const json::storage_ptr& memory) {
+  json::array all(memory);
+  all.reserve(latency.size());
+  for (const auto& [index, h] : latency) all.push_back(Write(index, h, memory));
   return all;
 }
 
-json::object Write(const operation_key& key, const series& s) {
-  json::object out = Write(key);
-  out["minutes"] = Write(s.minutes);
-  out["ten_minutes"] = Write(s.ten_minutes);
-  out["latency"] = Write(s.latency);
+json::object Write(const operation_key& key, const series& s,
+                   const json::storage_ptr& memory) {
+  json::object out = Write(key, memory);
+  out["minutes"] = Write(s.minutes, memory);
+  out["ten_minutes"] = Write(s.ten_minutes, memory);
+  out["latency"] = Write(s.latency, memory);
   return out;
 }
 
-json::object Write(const source_id& id, const source& s) {
-  json::array all;
-  for (const auto& [key, one] : s.all) all.push_back(Write(key, one));
-  return {{"entry", id.entry.v},  {"incarnation", id.started},
-          {"region", s.region.v}, {"taken_ms", s.taken},
-          {"dropped", s.dropped}, {"series", std::move(all)}};
+json::object Write(const source_id& id, const source& s,
+                   const json::storage_ptr& memory) {
+  json::array all(memory);
+  for (const auto& [key, one] : s.all) all.push_back(Write(key, one, memory));
+  json::object out(memory);
+  out["entry"] = id.entry.v;
+  out["incarnation"] = id.started;
+  out["region"] = s.region.v;
+  out["taken_ms"] = s.taken;
+  out["dropped"] = s.dropped;
+  out["series"] = std::move(all);
+  return out;
 }
 
 json::object Write(const tally& t) {
@@ -97,7 +117,7 @@
 }
 
 json::object Write(const objective_status& s) {
-  json::object out = Write(s.declared);
+  json::object out = Write(s.declared, {});
   out["verdict"] = Text(s.d.v);
   out["budget_left"] = s.budget_left;
   out["windows"] = Windows(s);
@@ -112,14 +132,22 @@
 }  // namespace
 
 std::string ToJson(const recording& r) {
-  json::array objectives;
-  for (const objective& o : r.objectives.all) objectives.push_back(Write(o));
-  json::array sources;
-  for (const auto& [id, s] : r.sources) sources.push_back(Write(id, s));
-  return json::serialize(json::object{{"format", kFormat},
-                                      {"version", r.objectives.version},
-                                      {"objectives", std::move(objectives)},
-                                      {"sources", std::move(sources)}});
+  // An entry writes this between calls; freeing all at once saves most of the
+  // time.
+  json::monotonic_resource resource;
+  const json::storage_ptr memory(&resource);
+  json::array objectives(memory);
+  for (const objective& o : r.objectives.all) {
+    objectives.push_back(Write(o, memory));
+  }
+  json::array sources(memory);
+  for (const auto& [id, s] : r.sources) sources.push_back(Write(id, s, memory));
+  json::object out(memory);
+  out["format"] = kFormat;
+  out["version"] = r.objectives.version;
+  out["objectives"] = std::move(objectives);
+  out["sources"] = std::move(sources);
+  return json::serialize(out);
 }
 
 std::string ToJson(const burn_report& r,
