--- a/scripts/cell_lib.sh
+++ b/scripts/cell_lib.sh
@@ -71,7 +71,7 @@
   local pid=${PIDS[$1]:-}
   [ -n "$pid" ] || return 0
   kill -s "$2" "$pid" 2>/dev/null || true
-  wait "$pid" 2>/dev/null
+  wait "$pid" 2>/dev/null || true
   unset "PIDS[$1]"
 }
 
