Membership changes in the fault schedules; the last voter stays

Cause: the schedules did not change members, and a change could remove the last voter, after which the cell can never decide again. Change: schedules demote and promote voters at random. ChangeMember refuses to leave no voter. Proposals count the memory of an entry beside its data towards the limit.

--- a/include/mangoplank/consensus/node.h
+++ b/include/mangoplank/consensus/node.h
@@ -71,9 +71,16 @@
   bool HoldsLease() const;
   node_status Status() const;
 
-  /// Adds a learner, promotes it, or removes a member; one step at a time.
+  /// Adds a member, changes its address, promotes or demotes it, or removes it;
+  /// one step at a time. A new voter is a learner until it has caught up.
+  /// @return the revision of the last step; not_leader, commit_unknown,
+  /// not_found, deadline_exceeded if it did not catch up within 30 s, or
+  /// unavailable if another change is in progress or no voter would be left.
   core::awaitable<core::outcome<core::revision>> ChangeMember(member m,
                                                               bool remove);
+  /// Makes another voter the leader. Until it leads, proposals are refused.
+  /// @return not_leader, not_found if `to` is no voter that can be reached, or
+  /// deadline_exceeded.
   core::awaitable<core::outcome<void>> TransferLeadership(core::member_id to);
   /// @return the failure that stopped the node, for the process to end with.
   core::awaitable<core::failure> Stopped();
--- a/src/apps/bench_state.cpp
+++ b/src/apps/bench_state.cpp
@@ -329,27 +329,31 @@
   Print("failover_max", Quantile(times, 1), "ms");
 }
 
+struct countdown {
+  std::size_t left = kBehind;
+  std::size_t running = kWriters;
+};
+
 core::awaitable<void> WriteCount(bench_cell& c, std::size_t leader,
-                                 std::size_t& left, std::size_t& running) {
-  while (left > 0) {
-    --left;
+                                 countdown& n) {
+  while (n.left > 0) {
+    --n.left;
     std::string command(kCommandBytes, 'x');
     const auto at = co_await c.members[leader].n->Propose(std::move(command));
-    if (!at) ++left;
+    if (!at) ++n.left;
   }
-  --running;
+  --n.running;
 }
 
 core::awaitable<void> MeasureCatchUp(bench_cell& c, std::string name) {
   const std::size_t leader = co_await c.AwaitLeader();
   const std::size_t late = (leader + 1) % kMembers;
   co_await c.Stop(late);
-  std::size_t left = kBehind;
-  std::size_t running = kWriters;
+  countdown n;
   for (std::size_t i = 0; i < kWriters; ++i) {
-    c.Spawn(WriteCount(c, leader, left, running));
+    c.Spawn(WriteCount(c, leader, n));
   }
-  while (running > 0) {
+  while (n.running > 0) {
     co_await core::SleepFor(c.clock, core::milliseconds(5));
   }
   const core::time_point from = c.clock.Now();
--- a/src/consensus/entry_log.h
+++ b/src/consensus/entry_log.h
@@ -54,8 +54,12 @@
     base_term_ = t;
   }
 
+  /// Memory that an entry takes beside its data.
+  static constexpr std::uint64_t kEntryBytes = 32;
   /// Bytes that an entry is counted with.
-  static std::uint64_t Size(const log_entry& e) { return e.data.size() + 32; }
+  static std::uint64_t Size(const log_entry& e) {
+    return e.data.size() + kEntryBytes;
+  }
 
  private:
   std::deque<entry_ptr> entries_;
--- a/src/consensus/members.cpp
+++ b/src/consensus/members.cpp
@@ -20,6 +20,11 @@
   return members;
 }
 
+std::size_t Voters(const std::vector<member>& members) {
+  return std::count_if(members.begin(), members.end(),
+                       [](const member& m) { return m.voter; });
+}
+
 std::vector<member> With(const std::vector<member>& members, const member& m) {
   std::vector<member> out = members;
   const auto it = std::find_if(out.begin(), out.end(),
@@ -154,8 +159,12 @@
     co_return core::failure(
         core::unavailable{"another membership change is in progress"});
   }
+  if (Voters(members) == 0) {
+    co_return core::failure(core::unavailable{"the last voter must stay"});
+  }
   const membership m{0, std::move(members)};
-  co_return co_await Propose(entry_kind::kMembership, EncodeMembers(m));
+  std::string data = EncodeMembers(m);
+  co_return co_await Propose(entry_kind::kMembership, std::move(data));
 }
 
 core::awaitable<core::outcome<void>> node::impl::WaitCaughtUp(
@@ -182,7 +191,8 @@
   const member* present = Find(m.id);
   if (remove) {
     if (present == nullptr) co_return core::failure(core::not_found{m.id.v});
-    co_return co_await ProposeMembers(Without(Members().members, m.id));
+    auto rest = Without(Members().members, m.id);
+    co_return co_await ProposeMembers(std::move(rest));
   }
   const bool is_voter = present != nullptr && present->voter;
   const bool promote = m.voter && !is_voter;
@@ -192,7 +202,8 @@
     member first = m;
     first.voter = m.voter && is_voter;
     if (present != nullptr) first.disk = present->disk;
-    const auto added = co_await ProposeMembers(With(Members().members, first));
+    auto with_learner = With(Members().members, first);
+    const auto added = co_await ProposeMembers(std::move(with_learner));
     if (!added || !promote) co_return added;
   }
   const core::member_id id = m.id;
@@ -202,7 +213,8 @@
   if (present == nullptr) co_return core::failure(core::not_found{id.v});
   member voter = *present;
   voter.voter = true;
-  co_return co_await ProposeMembers(With(Members().members, voter));
+  auto with_voter = With(Members().members, voter);
+  co_return co_await ProposeMembers(std::move(with_voter));
 }
 
 core::awaitable<core::outcome<void>> node::impl::Transfer(core::member_id to) {
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -215,7 +215,7 @@
     const auto leader = Leads() ? std::nullopt : Leader();
     co_return core::failure(core::not_leader{leader});
   }
-  const std::uint64_t bytes = data.size();
+  const std::uint64_t bytes = data.size() + entry_log::kEntryBytes;
   const bool full = pending_bytes + bytes > settings.max_pending_bytes;
   if (full && pending_bytes > 0) {
     co_return core::failure(
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -112,7 +112,6 @@
   /// Last reply sent.
   core::revision replied_at = 0;
   std::uint64_t replied_round = 0;
-  core::term replied_term = 0;
   /// Snapshot in transfer.
   core::revision snapshot_at = 0;
   std::string snapshot_data;
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -256,6 +256,17 @@
   for (const auto& m : c.members) EXPECT_EQ(m->machine->applied.size(), 1u);
 }
 
+// Guards against a change that leaves a cell that can never decide again.
+TEST(NodeTest, KeepsTheLastVoter) {
+  fake_cluster c(1, 13);
+  c.Start(0);
+  c.AwaitLeader();
+  c.RunFor(seconds(1));
+  const member self = c.members[0]->who;
+  EXPECT_FALSE(c.Await(c.At(0).ChangeMember(self, true)));
+  EXPECT_TRUE(c.Await(c.At(0).Propose("a")));
+}
+
 // Guards against an unbounded queue of proposals.
 TEST(NodeTest, RefusesProposalsOverTheLimit) {
   fake_cluster c(1, 12);
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -76,7 +76,7 @@
   void Disturb() {
     const std::size_t i = Any();
     const bool runs = c_.members[i]->n != nullptr;
-    switch (random_() % 9) {
+    switch (random_() % 10) {
       case 0:
       case 1:
         if (runs) c_.Crash(i);
@@ -100,6 +100,9 @@
       case 7:
         cuts_.clear();
         break;
+      case 8:
+        if (runs) c_.Go(Change(i, c_.members[Any()]->who));
+        break;
       default:
         if (runs) c_.Go(Transfer(i, Id(Any())));
     }
@@ -117,6 +120,11 @@
     co_await c_.At(i).TransferLeadership(std::move(to));
   }
 
+  core::awaitable<void> Change(std::size_t i, member m) {
+    m.voter = random_() % 3 != 0;
+    co_await c_.At(i).ChangeMember(m, false);
+  }
+
   core::awaitable<void> Write(std::size_t client) {
     ++running_;
     for (int k = 0; !done_; ++k) {
