Refusals of the server name an outcome only for calls; watches in pieces

A full copy in a watch was built as one text. Conclusion: not_run in a header now always speaks of the request it answers.

--- a/src/api/connection.cpp
+++ b/src/api/connection.cpp
@@ -1,7 +1,5 @@
 #include "api/connection.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
@@ -11,6 +9,7 @@
 #include <utility>
 
 #include "api/problem.h"
+#include "api/target.h"
 
 namespace mangoplank::api {
 
@@ -26,29 +25,19 @@
 /// How often a stream without data looks for a shutdown.
 constexpr core::milliseconds kStreamWait(500);
 
-// Nothing that is refused before the handler has run.
-response RefusalResponse(unsigned status, std::string type, std::string title,
-                         std::string detail) {
-  const problem p{status, std::move(type), std::move(title), std::move(detail)};
-  return Render(p, cell::ending::kNotRun);
-}
-
-response ResponseTo(error_code ec, bool timed_out) {
+problem ProblemOf(error_code ec, bool timed_out) {
   if (timed_out) {
-    return RefusalResponse(408, "request-timeout",
-                           "The request came too slowly",
-                           "the whole request must arrive in time");
+    return {408, "request-timeout", "The request came too slowly",
+            "the whole request must arrive in time"};
   }
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-    return RefusalResponse(431, "header-too-large",
-                           "The header is over the limit", ec.message());
+    return {431, "header-too-large", "The header is over the limit",
+            ec.message()};
   }
   if (ec == http::error::body_limit) {
-    return RefusalResponse(413, "body-too-large", "The body is over the limit",
-                           ec.message());
+    return {413, "body-too-large", "The body is over the limit", ec.message()};
   }
-  return RefusalResponse(400, "malformed", "The request is not valid HTTP",
-                         ec.message());
+  return {400, "malformed", "The request is not valid HTTP", ec.message()};
 }
 
 header_map HeadersOf(const http::fields& fields) {
@@ -136,10 +125,13 @@
 }
 
 core::awaitable<void> connection::RunRefused() {
-  response r = RefusalResponse(503, "too-many-connections",
-                               "The entry has no free connection",
-                               "try again, on another entry if possible");
-  r.headers["retry-after"] = "1";
+  const problem p{503,
+                  "too-many-connections",
+                  "The entry has no free connection",
+                  "try again, on another entry if possible",
+                  {},
+                  core::milliseconds(1000)};
+  const response r = Render(p);
   co_await Send(r, false, false);
   co_await Linger();
 }
@@ -185,7 +177,7 @@
     if (!length || *length <= e_.limits.body_bytes) co_return true;
     ec = http::error::body_limit;
   }
-  co_await Refuse(ec, timed_out);
+  co_await Refuse(p, ec, timed_out);
   co_return false;
 }
 
@@ -214,17 +206,24 @@
     timed_out = limit.Passed();
   }
   if (!ec) co_return true;
-  co_await Refuse(ec, timed_out);
+  co_await Refuse(p, ec, timed_out);
   co_return false;
 }
 
-core::awaitable<void> connection::Refuse(error_code ec, bool timed_out) {
+core::awaitable<void> connection::Refuse(const parser& p, error_code ec,
+                                         bool timed_out) {
   // The client is gone, or closed before it began a request.
   if (ec == http::error::end_of_stream && !timed_out) co_return;
   const bool lost =
       ec.category() != make_error_code(http::error::body_limit).category();
   if (lost && !timed_out) co_return;
-  const response r = ResponseTo(ec, timed_out);
+  // Only a call that was to be made now is known not to run; a question for
+  // the end of an earlier one may be refused here too.
+  const bool is_call =
+      p.get().method() == http::verb::post && IsCallPath(p.get().target());
+  const problem refusal = ProblemOf(ec, timed_out);
+  const response r =
+      is_call ? Render(refusal, cell::ending::kNotRun) : Render(refusal);
   Count(r.status, e_.clock.Now());
   co_await Send(r, false, false);
 }
@@ -246,8 +245,8 @@
     Count(whole->status, since);
     open = co_await Send(*whole, keep && !e_.stopping, head);
   } else if (is_old) {
-    const response refusal = RefusalResponse(
-        505, "http-version", "A watch needs HTTP/1.1", "chunked encoding");
+    const problem old{505, "http-version", "A watch needs HTTP/1.1", ""};
+    const response refusal = Render(old);
     open = co_await Send(refusal, false, head);
   } else {
     const auto& stream = std::get<streamed_response>(answer);
@@ -326,11 +325,7 @@
 }
 
 void connection::Count(unsigned status, core::time_point since) {
-  const std::string code = fmt::format("{}xx", status / 100);
-  e_.metrics
-      .Counter("mangoplank_http_responses_total",
-               "HTTP responses by class of status", {{"status", code}})
-      .Add();
+  e_.responses.at(status / 100)->Add();
   const core::duration d = e_.clock.Now() - since;
   e_.duration.Add(std::chrono::duration<double>(d).count());
 }
--- a/src/api/connection.h
+++ b/src/api/connection.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPLANK_API_CONNECTION_H_
 #define MANGOPLANK_API_CONNECTION_H_
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -39,7 +40,8 @@
     core::clock& clock;
     handler& h;
     const server_limits limits;
-    metrics::registry& metrics;
+    /// Responses by hundreds of the status.
+    std::array<metrics::counter*, 6> responses;
     metrics::histogram& duration;
     /// Responses close their connections.
     bool stopping = false;
@@ -77,7 +79,8 @@
   core::awaitable<bool> Send(const response& r, bool keep, bool head);
   core::awaitable<bool> SendStream(const streamed_response& s, bool head);
   core::awaitable<void> SendChunks(body_stream& body);
-  core::awaitable<void> Refuse(boost::system::error_code ec, bool timed_out);
+  core::awaitable<void> Refuse(const parser& p, boost::system::error_code ec,
+                               bool timed_out);
   core::awaitable<void> Linger();
   void Count(unsigned status, core::time_point since);
 
--- a/src/api/json_announcement.cpp
+++ b/src/api/json_announcement.cpp
@@ -27,7 +27,10 @@
 
 void CheckTasks(const std::vector<control::task_state>& tasks,
                 field_errors& errors) {
-  for (std::size_t i = 0; i < tasks.size(); ++i) {
+  // The first wrong ones suffice; a body may hold thousands.
+  constexpr std::size_t kMostErrors = 32;
+  for (std::size_t i = 0; i < tasks.size() && errors.size() < kMostErrors;
+       ++i) {
     const std::string path = fmt::format("tasks[{}]", i);
     if (!IsReported(tasks[i].phase)) {
       errors.push_back({path + ".phase",
--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -23,6 +23,17 @@
 /// Pause after an accept failed for want of descriptors or memory.
 constexpr core::milliseconds kAcceptPause(100);
 
+std::array<metrics::counter*, 6> ResponseCounters(metrics::registry& metrics) {
+  std::array<metrics::counter*, 6> out{};
+  for (std::size_t i = 0; i < out.size(); ++i) {
+    const std::string code = std::to_string(i) + "xx";
+    out[i] = &metrics.Counter("mangoplank_http_responses_total",
+                              "HTTP responses by class of status",
+                              {{"status", code}});
+  }
+  return out;
+}
+
 core::failure Refused(const core::endpoint& at, const error_code& ec) {
   spdlog::error("can't listen at {}:{}: {}", at.address, at.port, ec.message());
   return core::connection_failed{core::connection_failed::kind::kRefused,
@@ -35,7 +46,7 @@
   impl(asio::any_io_executor executor, core::clock& clock, handler& h,
        metrics::registry& metrics, server_limits limits)
       : acceptor(executor),
-        e{clock, h, limits, metrics,
+        e{clock, h, limits, ResponseCounters(metrics),
           metrics.Histogram("mangoplank_http_request_seconds",
                             "Time from a whole request to its response")},
         open_gauge(metrics.Gauge("mangoplank_http_connections",
--- a/src/api/watch.cpp
+++ b/src/api/watch.cpp
@@ -14,6 +14,9 @@
 namespace json = boost::json;
 using core::overloaded;
 
+/// Length at which the lines of a batch are sent before more are made.
+constexpr std::size_t kPieceBytes = 64 * 1024;
+
 std::string Serialize(const json::object& o) {
   return json::serialize(o) + "\n";
 }
@@ -77,7 +80,7 @@
                            watch_limits limits, core::clock& clock,
                            std::shared_ptr<void> slot)
     : feed_(std::move(feed)),
-      first_(std::move(first)),
+      pending_(std::move(first)),
       filter_(std::move(filter)),
       limits_(std::move(limits)),
       clock_(clock),
@@ -118,19 +121,29 @@
       c);
 }
 
-std::string watch_stream::Lines(const control::feed_batch& batch) {
+std::string watch_stream::TakeLines() {
+  const control::feed_batch& batch = *pending_;
   std::string out;
-  if (batch.reset) {
+  if (batch.reset && next_change_ == 0) {
     jobs_.clear();
     out += Serialize(Event("reset"));
   }
-  for (const cell::change& c : batch.changes) out += Line(c);
-  const core::time_point now = clock_.Now();
+  while (next_change_ < batch.changes.size() && out.size() < kPieceBytes) {
+    out += Line(batch.changes[next_change_++]);
+  }
+  told_any_ = told_any_ || !out.empty();
+  if (next_change_ < batch.changes.size()) return out;
   // Without a line the client could not tell a quiet watch from a dead one.
+  const core::time_point now = clock_.Now();
   const bool due = now - told_ >= limits_.progress;
-  if (out.empty() && !due) return out;
-  told_ = now;
-  return out + ProgressLine(batch.to);
+  if (told_any_ || due) {
+    told_ = now;
+    out += ProgressLine(batch.to);
+  }
+  pending_.reset();
+  next_change_ = 0;
+  told_any_ = false;
+  return out;
 }
 
 std::string watch_stream::End(const core::failure& f) {
@@ -146,18 +159,15 @@
 core::awaitable<std::optional<std::string>> watch_stream::Next(
     core::time_point deadline) {
   if (ended_) co_return std::nullopt;
-  if (first_) {
-    const control::feed_batch batch = std::move(*first_);
-    first_.reset();
-    co_return Lines(batch);
-  }
-  const auto batch = co_await feed_->Next(deadline);
+  if (pending_) co_return TakeLines();
+  auto batch = co_await feed_->Next(deadline);
   if (!limits_.allowed()) {
     co_return End(core::failure(core::unauthenticated{}));
   }
   if (batch) {
     heard_ = clock_.Now();
-    co_return Lines(*batch);
+    pending_ = std::move(*batch);
+    co_return TakeLines();
   }
   const bool may_recover =
       std::holds_alternative<core::unavailable>(batch.error()) ||
--- a/src/api/watch.h
+++ b/src/api/watch.h
@@ -45,13 +45,18 @@
       core::time_point deadline) override;
 
  private:
-  std::string Lines(const control::feed_batch& batch);
+  /// @return the next lines of the pending batch, which is given up at its end.
+  std::string TakeLines();
   std::string Line(const cell::change& c);
   /// @return the last line: why the watch ends.
   std::string End(const core::failure& f);
 
   std::unique_ptr<control::feed> feed_;
-  std::optional<control::feed_batch> first_;
+  /// Batch that is told in pieces, and the next change of it to tell. A full
+  /// copy may hold thousands of objects.
+  std::optional<control::feed_batch> pending_;
+  std::size_t next_change_ = 0;
+  bool told_any_ = false;
   watch_filter filter_;
   watch_limits limits_;
   core::clock& clock_;
--- a/src/ctl/session.cpp
+++ b/src/ctl/session.cpp
@@ -135,6 +135,8 @@
   }
   if (answer->status != 200) {
     Report(*answer);
+    // A read that was not answered leaves nothing in doubt.
+    if (answer->status == 504) failed_ = exit_code::kUnavailable;
     co_return std::nullopt;
   }
   const auto v = api::ParseJson(answer->body);
--- a/src/ctl/work.cpp
+++ b/src/ctl/work.cpp
@@ -107,7 +107,11 @@
     return exit_code::kWorkFailed;
   }
   Report(r);
-  if (outcome == "not_run") {
+  // Before a request was read whole, an entry refuses it without an outcome.
+  const bool refused =
+      outcome.empty() && !v.ask && r.status != 504 &&
+      r.body.find("urn:mangoplank:problem:") != std::string::npos;
+  if (outcome == "not_run" || refused) {
     err_ << "the call was not run\n";
     return failed_;
   }
