Calls: stable demand, room for quick calls, differential test, bench

Cause: measured in fake time, slot shares swung between entries: the reported queue length made demand explode at each shortage, shares of all workers were rounded alike (an entry with a tenth of the load held no slot), bulk calls filled the queue bound of quick ones, and the slots of a shrinking share left quick calls waiting behind bulk ones.

Change: demand is the work that arrives (Little's law) with a margin for bursts, and small changes are not reported; the allocator rounds from a different offset at each worker; quick and bulk calls have their own queue bounds and rates; bulk work leaves room for the quick calls of its service.

--- a/src/apps/bench.h
+++ b/src/apps/bench.h
@@ -8,6 +8,9 @@
 /// Sizes and costs per worker, task, department, call and message.
 int RunCapacityBench();
 
+/// Slot shares, overload, quick calls beside bulk work, CPU per call.
+int RunCallsBench();
+
 }  // namespace mangoplank::bench
 
 #endif  // MANGOPLANK_APPS_BENCH_H_
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -17,8 +17,21 @@
 
 namespace {
 
-/// Share of the demand that is still reported one report after it ended.
-constexpr double kDemandDecay = 0.7;
+/// Weight of the last report interval in the demand: a jump is followed within
+/// a second, noise is not.
+constexpr double kJumpWeight = 0.8;
+constexpr double kUsualWeight = 0.2;
+constexpr double kJump = 1.5;
+/// Demand is reported in parts of a slot, as only the proportions count.
+constexpr double kDemandUnit = 0.1;
+/// Standard deviations of Poisson arrivals above the mean: a small entry needs
+/// relatively more slots for the same waiting time.
+constexpr double kMargin = 2;
+/// Relative change below which the last value is reported again. A share that
+/// shrinks leaves no free slot until calls in flight have ended, so shares
+/// should not follow the noise of arrivals.
+constexpr double kDemandStep = 0.12;
+constexpr core::duration kUnknownRunTime = std::chrono::milliseconds(20);
 constexpr core::milliseconds kRetryAfter{1000};
 constexpr int kMostBackoffDoublings = 10;
 /// An answer to an older report is ignored, its lease being over or nearly so.
@@ -125,10 +138,36 @@
          std::to_string(next_number++);
 }
 
-void dispatcher::impl::Wanted(const cell::object_key& service, int change) {
-  service_state& s = services[service];
-  s.wanted += change;
-  s.most_wanted = std::max(s.most_wanted, s.wanted);
+void dispatcher::impl::Arrived(const call& c, bool bulk) {
+  service_state& s = services[ServiceOf(c)];
+  ++s.wanted;
+  const auto known = s.run_time.find(c.operation);
+  const core::duration run =
+      known == s.run_time.end() ? kUnknownRunTime : known->second.Mean();
+  const double seconds = std::chrono::duration<double>(run).count();
+  s.work += seconds;
+  if (!bulk) s.quick_work += seconds;
+}
+
+void dispatcher::impl::Left(const call& c) { --services[ServiceOf(c)].wanted; }
+
+void dispatcher::impl::Smooth(service_state& s, core::duration since_report) {
+  const double seconds =
+      std::max(1e-3, std::chrono::duration<double>(since_report).count());
+  // Slots that the arrivals keep busy (Little's law). The length of the queue
+  // is left out: it grows with each moment of shortage, and shares that follow
+  // it swing from one entry to another.
+  const double needed = s.work / seconds;
+  const double weight =
+      needed > kJump * s.smoothed ? kJumpWeight : kUsualWeight;
+  s.smoothed += weight * (needed - s.smoothed);
+  s.work = 0;
+  const double quick = s.quick_work / seconds;
+  s.quick_smoothed += kUsualWeight * (quick - s.quick_smoothed);
+  s.quick_work = 0;
+  const double wanted = s.smoothed + kMargin * std::sqrt(s.smoothed);
+  const double change = std::abs(wanted - s.reported);
+  if (change > kDemandStep * s.reported) s.reported = wanted;
 }
 
 void dispatcher::impl::CountEnd(const call_end& end, bool once, bool bulk,
@@ -163,16 +202,15 @@
   const bool once = !op->idempotent;
   const bool bulk = op->deadline >= self->settings.bulk_deadline;
   if (!bulk) self->last_quick = start;
-  const cell::object_key service = ServiceOf(c);
   ++self->active;
-  self->Wanted(service, 1);
+  self->Arrived(c, bulk);
   call_end end;
   if (once) {
-    end = co_await RunOnce(self, std::move(c), bulk);
+    end = co_await RunOnce(self, c, bulk);
   } else {
-    end = co_await RunIdempotent(self, std::move(c), bulk);
+    end = co_await RunIdempotent(self, c, bulk);
   }
-  self->Wanted(service, -1);
+  self->Left(c);
   if (--self->active == 0) self->idle.NotifyAll();
   self->CountEnd(end, once, bulk, self->clock.Now() - start);
   co_return end;
@@ -346,16 +384,14 @@
   report.kept_sequence = kept.sequence;
   if (now < kept.end) report.held = kept.grants;
   for (auto& [service, s] : impl_->services) {
-    s.smoothed =
-        std::max(static_cast<double>(s.most_wanted), s.smoothed * kDemandDecay);
-    s.most_wanted = s.wanted;
-    if (s.smoothed < 0.5) continue;
-    report.demand.push_back(
-        {service, static_cast<std::int64_t>(std::ceil(s.smoothed))});
+    impl::Smooth(s, now - impl_->last_report);
+    // A service without demand is listed as well, so that it keeps a share.
+    report.demand.push_back({service, static_cast<std::int64_t>(std::ceil(
+                                          s.reported / kDemandUnit))});
   }
+  impl_->last_report = now;
   std::erase_if(impl_->services, [this](const auto& entry) {
-    return entry.second.wanted == 0 && entry.second.smoothed < 0.5 &&
-           impl_->view.Find(entry.first) == nullptr;
+    return entry.second.wanted == 0 && impl_->view.Find(entry.first) == nullptr;
   });
   return report;
 }
--- a/src/calls/dispatcher_impl.h
+++ b/src/calls/dispatcher_impl.h
@@ -44,15 +44,26 @@
     core::revision at = 0;
     std::vector<route> routes;
   };
+  /// How fast the calls of a service leave the queue.
+  struct queue_rate {
+    /// Time between two calls that leave while others wait.
+    duration_estimate interval;
+    core::time_point measured_at{};
+    core::time_point last_left{};
+  };
   struct service_state {
     /// Calls in flight and waiting.
     std::int64_t wanted = 0;
-    std::int64_t most_wanted = 0;
+    /// Seconds of slots that the calls since the last report need.
+    double work = 0;
     double smoothed = 0;
-    /// Time between two calls leaving the queue while others wait.
-    duration_estimate interval;
-    core::time_point interval_at{};
-    core::time_point last_left{};
+    /// The same of quick calls only.
+    double quick_work = 0;
+    double quick_smoothed = 0;
+    /// Slots wanted, as last reported.
+    double reported = 0;
+    /// Of quick and of bulk calls.
+    std::array<queue_rate, 2> rates;
     std::map<std::string, duration_estimate> run_time;
   };
 
@@ -77,6 +88,8 @@
     std::string digest;
     /// The intent was, or is being, recorded.
     bool intended = false;
+    /// The key is known to belong to this operation and digest.
+    bool bound = false;
     /// The caller has gone before any intent.
     bool abandoned = false;
     std::optional<call_end> end;
@@ -90,7 +103,8 @@
   // Routing (routing.cpp).
   const std::vector<route>& RoutesOf(const cell::object_key& service);
   std::optional<worker_target> Pick(const slot_wish& w);
-  bool BulkMayRun(const std::vector<route>& routes);
+  bool BulkMayRun(const cell::object_key& service,
+                  const std::vector<route>& routes);
   /// @return time until a slot, judging by the calls ahead and the measured
   /// rate; zero if nothing was measured.
   core::duration ExpectedWait(const slot_wish& w);
@@ -132,7 +146,10 @@
   call_end Refusal(end_reason why);
   core::duration Backoff(int tries);
   std::string NextId();
-  void Wanted(const cell::object_key& service, int change);
+  /// Counts a call that was accepted, for the demand.
+  void Arrived(const call& c, bool bulk);
+  void Left(const call& c);
+  static void Smooth(service_state& s, core::duration since_report);
   void CountEnd(const call_end& end, bool once, bool bulk, core::duration took);
 
   // Once-calls (once_call.cpp).
@@ -210,6 +227,7 @@
   /// When the last reports were sent, by number.
   std::map<std::uint64_t, core::time_point> reports;
   std::uint64_t next_report = 1;
+  core::time_point last_report{};
   std::uint64_t next_number = 1;
   /// Calls accepted and not ended, and once-calls whose outcome is sought.
   std::int64_t active = 0;
--- a/src/calls/fakes.h
+++ b/src/calls/fakes.h
@@ -147,6 +147,8 @@
   core::awaitable<exchange_result> Exchange(
       worker_target to, worker_request r, core::time_point deadline) override {
     ++exchanges;
+    Sign(to.worker.v);
+    Sign(r.id);
     if (r.k == request_kind::kRun && clock_.Now() >= r.deadline) {
       ++sent_after_deadline;
     }
@@ -183,11 +185,20 @@
   core::duration latency = 2ms;
   std::uint64_t exchanges = 0;
   std::uint64_t sent_after_deadline = 0;
+  /// FNV-1a hash of all routing decisions: time, worker and call.
+  std::uint64_t signature = 14695981039346656037u;
 
  private:
   bool Chance(double p) {
     return p > 0 && std::bernoulli_distribution(p)(random_);
   }
+  void Sign(const std::string& text) {
+    const std::string timed =
+        text + "@" + std::to_string(clock_.Now().time_since_epoch().count());
+    for (const char c : timed) {
+      signature = (signature ^ static_cast<unsigned char>(c)) * 1099511628211u;
+    }
+  }
   core::awaitable<void> ArriveLate(worker_target to, worker_request r,
                                    core::time_point arrival) {
     co_await core::SleepUntil(clock_, arrival);
--- /dev/null
+++ b/src/calls/naive_dispatcher_test.cpp
@@ -0,0 +1,153 @@
+#include <gtest/gtest.h>
+
+#include "calls/fakes.h"
+
+namespace mangoplank::calls {
+namespace {
+
+using cell::ending;
+using fakes::fake_cell;
+using namespace std::chrono_literals;
+
+/// Runs one call after the other under one lock, on the first worker, and
+/// remembers the ends of once-calls. Simple enough to be right by inspection.
+class naive_dispatcher : public runner {
+ public:
+  explicit naive_dispatcher(fake_cell& cell)
+      : cell_(cell), freed_(cell.time.io.get_executor(), cell.time.clock) {}
+
+  core::awaitable<call_end> Run(call c) override {
+    // The lock is taken in the order of arrival.
+    const std::uint64_t ticket = next_ticket_++;
+    while (served_ != ticket) co_await freed_.Wait();
+    call_end end = co_await RunLocked(std::move(c));
+    ++served_;
+    freed_.NotifyAll();
+    co_return end;
+  }
+  core::awaitable<core::outcome<call_end>> Resolve(cell::call_key,
+                                                   core::time_point) override {
+    co_return core::failure(core::not_found{});
+  }
+
+ private:
+  static call_end NotRun(end_reason why) {
+    return {ending::kNotRun, why, "", std::nullopt, std::nullopt};
+  }
+  core::awaitable<call_end> RunLocked(call c) {
+    const cell::object* const o =
+        cell_.view.Find({cell::object_kind::kService, c.department, c.service});
+    if (o == nullptr) co_return NotRun(end_reason::kUnknownService);
+    const cell::operation* found = nullptr;
+    for (const auto& op : std::get<cell::service_spec>(o->spec).operations) {
+      if (op.name == c.operation) found = &op;
+    }
+    if (found == nullptr) co_return NotRun(end_reason::kUnknownOperation);
+    if (found->idempotent) co_return co_await Send(c);
+    if (c.idempotency_key.empty()) co_return NotRun(end_reason::kKeyMissing);
+    const auto it = known_.find(c.idempotency_key);
+    if (it != known_.end()) {
+      const auto& [asked, end] = it->second;
+      const bool same = asked.body == c.body && asked.operation == c.operation;
+      co_return same ? end : NotRun(end_reason::kKeyReused);
+    }
+    const call_end end = co_await Send(c);
+    known_[c.idempotency_key] = {c, end};
+    co_return end;
+  }
+  core::awaitable<call_end> Send(call c) {
+    const cell::worker_record& w =
+        cell_.transport.workers.begin()->second.record;
+    worker_request r;
+    r.id = "n" + std::to_string(++next_id_);
+    r.department = c.department;
+    r.service = c.service;
+    r.operation = c.operation;
+    r.body = c.body;
+    r.deadline = cell_.time.clock.Now() + 1h;
+    const worker_target to{w.id, w.incarnation, w.address};
+    const exchange_result result =
+        co_await cell_.transport.Exchange(to, r, r.deadline);
+    const auto* const done = std::get_if<worker_done>(&result.reply);
+    co_return call_end{ending::kDone, end_reason::kNone,
+                       done == nullptr ? "none" : done->body, std::nullopt,
+                       std::nullopt};
+  }
+
+  fake_cell& cell_;
+  core::event freed_;
+  std::uint64_t next_ticket_ = 0;
+  std::uint64_t served_ = 0;
+  std::uint64_t next_id_ = 0;
+  std::map<std::string, std::pair<call, call_end>> known_;
+};
+
+struct asked {
+  core::duration at{};
+  call c;
+  std::shared_ptr<std::optional<call_end>> end;
+};
+
+/// Calls with long deadlines, so that timing decides nothing; keys are used
+/// again with the same and with other bodies.
+std::vector<asked> RandomCalls(fake_cell& cell, std::mt19937_64& random) {
+  std::vector<asked> all;
+  core::duration at{};
+  for (int i = 0; i < 120; ++i) {
+    at += std::chrono::milliseconds(random() % 8);
+    const std::uint64_t kind = random() % 10;
+    const std::string number = std::to_string(random() % 40);
+    call c = kind < 4 ? cell.Call("check", "c" + std::to_string(i), 600s)
+                      : cell.Call("book", "b" + number, 600s, "k" + number);
+    if (kind == 7) c.body = "other" + number;
+    if (kind == 8) c.operation = "none";
+    if (kind == 9) c.idempotency_key.clear();
+    all.push_back({at, std::move(c), nullptr});
+  }
+  return all;
+}
+
+std::vector<std::pair<call, call_end>> Play(fake_cell& cell, runner& r,
+                                            std::vector<asked> all) {
+  const core::time_point start = cell.time.clock.Now();
+  for (asked& a : all) {
+    cell.time.RunUntil(start + a.at);
+    a.end = cell.Start(r, a.c);
+  }
+  cell.time.RunFor(60s);
+  std::vector<std::pair<call, call_end>> ends;
+  for (const asked& a : all) ends.emplace_back(a.c, a.end->value());
+  return ends;
+}
+
+// Guards against any answer that concurrency, queues, slots or hedges change:
+// without faults, each call must end as with one lock around everything.
+TEST(NaiveDispatcherTest, EndsAreThoseOfOneCallAtATime) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    fake_cell naive_cell(seed);
+    fake_cell cell(seed);
+    for (fake_cell* c : {&naive_cell, &cell}) {
+      for (int i = 0; i < 3; ++i) {
+        c->AddWorker("w" + std::to_string(i), i < 2 ? "kalisz" : "olesno", 4);
+      }
+    }
+    std::mt19937_64 random(seed);
+    const std::vector<asked> all = RandomCalls(cell, random);
+    naive_dispatcher naive(naive_cell);
+    const auto d = cell.MakeDispatcher("e1", "kalisz");
+    cell.Grant(*d, 2);
+    const auto expected = Play(naive_cell, naive, all);
+    const auto ends = Play(cell, *d, all);
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      const call_end& a = expected[i].second;
+      const call_end& b = ends[i].second;
+      ASSERT_EQ(a.e, b.e) << i << " " << static_cast<int>(b.why);
+      ASSERT_EQ(a.why, b.why) << i;
+      ASSERT_EQ(a.body, b.body) << i;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace mangoplank::calls
--- a/src/calls/once_call.cpp
+++ b/src/calls/once_call.cpp
@@ -162,7 +162,13 @@
     if (joined) {
       f = it->second;
       const bool same = f->operation == c.operation && f->digest == digest;
-      if (!same) co_return self->Refusal(end_reason::kKeyReused);
+      if (!same && f->bound) co_return self->Refusal(end_reason::kKeyReused);
+      if (!same) {
+        // Which of the two bodies the key belongs to is not known yet.
+        co_await WaitForFlight(self, f, c.deadline);
+        if (f->end && self->clock.Now() < c.deadline) continue;
+        co_return self->Refusal(end_reason::kOverloaded);
+      }
     } else {
       f = self->TakeOff(key, c.operation, digest);
       asio::co_spawn(self->executor, Fly(self, f, c, bulk), asio::detached);
@@ -225,6 +231,7 @@
   // The intent may yet be committed, but only this entry may send the call,
   // and it will not.
   if (!record) co_return self->Refusal(end_reason::kCutOff);
+  f->bound = is_new;
   if (!is_new) {
     s.reset();
     co_return co_await MeetRecord(self, f, std::move(c), *record);
@@ -246,6 +253,7 @@
   const bool same =
       record.operation_name == c.operation && record.digest == f->digest;
   if (!same) co_return self->Refusal(end_reason::kKeyReused);
+  f->bound = true;
   if (IsFinal(record)) co_return EndOf(*record.outcome, record.key);
   call_outcome outcome =
       co_await Pursue(self, record, std::nullopt, c.deadline);
@@ -429,6 +437,7 @@
       const auto f =
           self->TakeOff(key, (*record)->operation_name, (*record)->digest);
       f->intended = true;
+      f->bound = true;
       asio::co_spawn(self->executor, FlyResolve(self, f, **record),
                      asio::detached);
     }
--- a/src/calls/routing.cpp
+++ b/src/calls/routing.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "calls/dispatcher_impl.h"
 
@@ -10,6 +11,7 @@
 
 /// Bulk work leaves slots free for this long after the last quick call.
 constexpr core::duration kQuickMemory = std::chrono::seconds(30);
+constexpr double kQuickMargin = 2;
 /// A measured rate counts for this long.
 constexpr core::duration kRateMemory = std::chrono::seconds(1);
 /// Until a run time is known, a call with less time left than this is not
@@ -74,7 +76,8 @@
   return known.routes;
 }
 
-bool dispatcher::impl::BulkMayRun(const std::vector<route>& all) {
+bool dispatcher::impl::BulkMayRun(const cell::object_key& service,
+                                  const std::vector<route>& all) {
   const core::time_point now = clock.Now();
   if (last_quick + kQuickMemory < now) return true;
   std::int64_t granted = 0;
@@ -85,15 +88,21 @@
     granted += use->granted;
     bulk += use->bulk_in_flight;
   }
-  const auto most = static_cast<std::int64_t>(static_cast<double>(granted) *
-                                              settings.bulk_share);
+  // Room for the quick calls of the service, with a margin for bursts of
+  // Poisson arrivals.
+  const double quick = services[service].quick_smoothed;
+  const double room = quick + kQuickMargin * std::sqrt(quick) + 1;
+  const auto all_slots = static_cast<double>(granted);
+  const auto most = static_cast<std::int64_t>(
+      std::min(all_slots * settings.bulk_share, all_slots - room));
   return bulk < std::max<std::int64_t>(most, 1);
 }
 
 std::optional<worker_target> dispatcher::impl::Pick(const slot_wish& w) {
   const core::time_point now = clock.Now();
   const std::vector<route>& all = RoutesOf(w.service);
-  if (all.empty() || (w.bulk && !BulkMayRun(all))) return std::nullopt;
+  if (all.empty() || (w.bulk && !BulkMayRun(w.service, all)))
+    return std::nullopt;
   // When all were tried, a further try goes to any of them.
   const bool all_tried = std::all_of(
       all.begin(), all.end(),
@@ -129,18 +138,18 @@
 }
 
 core::duration dispatcher::impl::ExpectedWait(const slot_wish& w) {
-  const service_state& s = services[w.service];
+  const queue_rate& rate = services[w.service].rates[w.bulk ? 1 : 0];
   // An old rate may no longer hold, and refusals on its account would keep it
   // from being measured again.
-  const bool is_old = s.interval_at + kRateMemory < clock.Now();
-  if (is_old || !s.interval.IsKnown()) return core::duration::zero();
+  const bool is_old = rate.measured_at + kRateMemory < clock.Now();
+  if (is_old || !rate.interval.IsKnown()) return core::duration::zero();
   const auto ahead = static_cast<std::int64_t>(queue.Ahead(w));
-  return s.interval.Mean() * (ahead + 1);
+  return rate.interval.Mean() * (ahead + 1);
 }
 
 std::optional<end_reason> dispatcher::impl::RefuseEarly(const slot_wish& w) {
   if (RoutesOf(w.service).empty()) return end_reason::kNoWorker;
-  if (queue.Waiting(w.service.department, w.once) >= settings.max_waiting) {
+  if (queue.Waiting(w) >= settings.max_waiting) {
     return end_reason::kOverloaded;
   }
   if (clock.Now() + ExpectedWait(w) + ExpectedRun(w) > w.deadline) {
@@ -193,13 +202,13 @@
   slots.Take(KeyOf(*target), w.bulk);
   w.given = std::move(target);
   w.decided.NotifyAll();
-  service_state& s = services[w.service];
+  queue_rate& rate = services[w.service].rates[w.bulk ? 1 : 0];
   // An interval across a time without a queue says nothing of the rate.
-  if (s.last_left != core::time_point{}) {
-    s.interval.Add(now - s.last_left);
-    s.interval_at = now;
+  if (rate.last_left != core::time_point{}) {
+    rate.interval.Add(now - rate.last_left);
+    rate.measured_at = now;
   }
-  s.last_left = queue.WaitingFor(w.service) > 1 ? now : core::time_point{};
+  rate.last_left = queue.InLane(w) > 1 ? now : core::time_point{};
   return true;
 }
 
--- a/src/calls/slot_allocator.cpp
+++ b/src/calls/slot_allocator.cpp
@@ -1,6 +1,7 @@
 #include "mangoplank/calls/slot_allocator.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "mangoplank/membership/lease_table.h"
 
@@ -25,28 +26,47 @@
   return found;
 }
 
-/// Splits `slots` in proportion to the weights, whole slots only. What is left
-/// after rounding down goes to the largest remainders, earlier items first.
+/// Splits `slots` in proportion to the weights, whole slots only. Rounding
+/// starts at `offset`, from 0 to 1: where it differs between workers, the sums
+/// over many workers are in proportion too, and a small change of the weights
+/// moves slots of few workers.
 std::vector<std::int64_t> Split(std::int64_t slots,
-                                const std::vector<std::int64_t>& weights) {
+                                const std::vector<std::int64_t>& weights,
+                                double offset) {
   std::int64_t total = 0;
   for (const std::int64_t w : weights) total += w;
   std::vector<std::int64_t> parts(weights.size(), 0);
   if (total == 0) return parts;
-  std::vector<std::pair<std::int64_t, std::size_t>> remainders;
-  std::int64_t left = slots;
+  std::int64_t sum = 0;
+  std::int64_t given = 0;
   for (std::size_t i = 0; i < weights.size(); ++i) {
-    parts[i] = slots * weights[i] / total;
-    left -= parts[i];
-    remainders.emplace_back(-(slots * weights[i] % total), i);
-  }
-  std::sort(remainders.begin(), remainders.end());
-  for (std::size_t i = 0; left > 0 && i < remainders.size(); ++i, --left) {
-    parts[remainders[i].second] += 1;
+    sum += weights[i];
+    const double end = static_cast<double>(slots) * static_cast<double>(sum) /
+                       static_cast<double>(total);
+    const bool is_last = sum == total;
+    const auto upto =
+        is_last ? slots : static_cast<std::int64_t>(std::floor(end + offset));
+    parts[i] = upto - given;
+    given = upto;
   }
   return parts;
 }
 
+/// @return a number from 0 to 1 that differs between workers.
+double OffsetOf(const core::worker_id& worker) {
+  // FNV-1a: std::hash may differ between builds, and a new leader should
+  // split as the last one did.
+  std::uint32_t hash = 2166136261u;
+  for (const char c : worker.v) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 16777619u;
+  }
+  // The last byte of a name reaches few of the upper bits; this spreads it.
+  hash = (hash ^ (hash >> 16)) * 2246822507u;
+  hash = (hash ^ (hash >> 13)) * 3266489909u;
+  hash ^= hash >> 16;
+  return static_cast<double>(hash) / 4294967296.0;
+}
+
 /// An entry with no calls keeps room for a first one, so that it needs no
 /// message to control before it can serve it.
 constexpr std::int64_t kLeastDemand = 1;
@@ -149,7 +169,8 @@
         if (name == id) own = weights.size();
         weights.push_back(n * (near ? kOwnRegionFactor : 1));
       }
-      const std::int64_t share = Split(serving->slots, weights)[own];
+      const std::int64_t share =
+          Split(serving->slots, weights, OffsetOf(worker))[own];
       wanted[worker] = std::max(wanted[worker], share);
     }
   }
--- a/src/calls/wait_queue.cpp
+++ b/src/calls/wait_queue.cpp
@@ -8,19 +8,16 @@
   return {w.bulk, w.service.name, w.once};
 }
 
-std::size_t wait_queue::Waiting(const core::department_id& d, bool once) const {
-  const auto it = departments_.find(d);
-  return it == departments_.end() ? 0 : it->second.waiting[once ? 1 : 0];
+std::size_t wait_queue::Waiting(const slot_wish& w) const {
+  const auto it = departments_.find(w.service.department);
+  return it == departments_.end() ? 0 : it->second.waiting[ClassOf(w)];
 }
 
-std::size_t wait_queue::WaitingFor(const cell::object_key& service) const {
-  const auto it = departments_.find(service.department);
+std::size_t wait_queue::InLane(const slot_wish& w) const {
+  const auto it = departments_.find(w.service.department);
   if (it == departments_.end()) return 0;
-  std::size_t n = 0;
-  for (const auto& [key, l] : it->second.lanes) {
-    if (key.service == service.name) n += l.size();
-  }
-  return n;
+  const auto found = it->second.lanes.find(KeyOf(w));
+  return found == it->second.lanes.end() ? 0 : found->second.size();
 }
 
 std::size_t wait_queue::Ahead(const slot_wish& w) const {
@@ -44,7 +41,7 @@
 
 void wait_queue::Add(std::shared_ptr<slot_wish> w) {
   department_queue& q = departments_[w->service.department];
-  ++q.waiting[w->once ? 1 : 0];
+  ++q.waiting[ClassOf(*w)];
   ++size_;
   lane& l = q.lanes[KeyOf(*w)];
   l.insert(std::move(w));
@@ -56,7 +53,7 @@
   department_queue& q = it->second;
   const auto found = q.lanes.find(KeyOf(*w));
   if (found == q.lanes.end() || found->second.erase(w) == 0) return;
-  --q.waiting[w->once ? 1 : 0];
+  --q.waiting[ClassOf(*w)];
   --size_;
   if (found->second.empty()) q.lanes.erase(found);
   if (q.lanes.empty()) departments_.erase(it);
--- a/src/calls/wait_queue.h
+++ b/src/calls/wait_queue.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPLANK_CALLS_WAIT_QUEUE_H_
 #define MANGOPLANK_CALLS_WAIT_QUEUE_H_
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,9 +39,10 @@
 /// deadline first, and turns between departments.
 class wait_queue {
  public:
-  /// Calls of one department and class.
-  std::size_t Waiting(const core::department_id& d, bool once) const;
-  std::size_t WaitingFor(const cell::object_key& service) const;
+  /// @return waiting calls of the department and class of `w`.
+  std::size_t Waiting(const slot_wish& w) const;
+  /// @return waiting calls of the service and class of `w`.
+  std::size_t InLane(const slot_wish& w) const;
   std::size_t Size() const { return size_; }
   /// @return waiting calls that a new one of the lane and deadline follows.
   std::size_t Ahead(const slot_wish& w) const;
@@ -72,10 +74,16 @@
   };
   struct department_queue {
     std::map<lane_key, lane> lanes;
-    std::size_t waiting[2] = {0, 0};
+    /// By class.
+    std::array<std::size_t, 4> waiting{};
   };
 
   static lane_key KeyOf(const slot_wish& w);
+  /// Quick and bulk calls, idempotent or once, are four classes, so that a
+  /// full queue of one refuses no call of another.
+  static std::size_t ClassOf(const slot_wish& w) {
+    return (w.once ? 1u : 0u) + (w.bulk ? 2u : 0u);
+  }
   bool ServeOne(department_queue& q,
                 const std::function<bool(slot_wish&)>& serve);
 
