--- a/src/apps/bench.h
+++ b/src/apps/bench.h
@@ -11,6 +11,9 @@
 /// log, with real disks in a temporary folder and links in memory.
 int RunStateBench();
 
+/// Slot shares, overload, quick calls beside bulk work, CPU per call.
+int RunCallsBench();
+
 }  // namespace mangoplank::bench
 
 #endif  // MANGOPLANK_APPS_BENCH_H_
--- a/src/apps/bench_main.cpp
+++ b/src/apps/bench_main.cpp
@@ -7,6 +7,7 @@
 int main(int argc, char** argv) {
   using namespace mangoplank::bench;  // NOLINT(google-build-using-namespace)
   const std::map<std::string, int (*)()> areas = {
+      {"calls", RunCallsBench},
       {"capacity", RunCapacityBench},
       {"state", RunStateBench},
   };
