Placement: bench; urgent work replaces own work at a full quota

Urgent work of a department at its quota now replaces less urgent work of the same department (reason kMoreUrgent) instead of waiting for it to end. Workers with pledged room are not reserved for gangs, and a pledge outweighs a reservation. Room left over weighs 0.05 instead of 0.25 against the imbalance of processors and memory.

--- a/include/mangoplank/placement/decision.h
+++ b/include/mangoplank/placement/decision.h
@@ -21,6 +21,9 @@
 enum class evict_reason : std::uint8_t {
   /// The work runs on borrowed room that its owner needs.
   kReclaimed,
+  /// More urgent work of the same department needs room, and with it the
+  /// department is above its quota.
+  kMoreUrgent,
   /// The work runs on room that was kept for a gang job and lent meanwhile.
   kLent,
   /// A newer generation of the service replaces the task.
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
-# Checks the format of all sources and runs clang-tidy over those whose content
-# or headers changed since their last clean run.
+# Checks the format of all sources and runs clang-tidy over those that changed
+# since main and have no clean run of the same content and headers.
+# `lint.sh all` looks at all sources; `lint.sh format` at the format only.
+# LINT_JOBS: processes at once (3).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
@@ -24,4 +26,10 @@
 }
 export -f check
 export build headers cache
-printf '%s\n' "${sources[@]}" | grep '\.cpp$' | xargs -P "$(nproc)" -I{} bash -c 'check {}'
+if [ "${1:-}" = all ]; then
+  changed=("${sources[@]}")
+else
+  mapfile -t changed < <({ git diff --name-only main -- '*.cpp'; git ls-files -o --exclude-standard '*.cpp'; } | sort -u)
+fi
+printf '%s\n' "${changed[@]}" | { grep '\.cpp$' || true; } | grep -v '\.capnp\.' | while read -r f; do [ -e "$f" ] && echo "$f"; done |
+  xargs -r -P "${LINT_JOBS:-3}" -I{} bash -c 'check {}'
--- a/src/apps/bench.h
+++ b/src/apps/bench.h
@@ -8,6 +8,9 @@
 /// Sizes and costs per worker, task, department, call and message.
 int RunCapacityBench();
 
+/// Speed, packing, waiting times and fairness of placement decisions.
+int RunPlacementBench();
+
 }  // namespace mangoplank::bench
 
 #endif  // MANGOPLANK_APPS_BENCH_H_
--- a/src/apps/bench_main.cpp
+++ b/src/apps/bench_main.cpp
@@ -8,6 +8,7 @@
   using namespace mangoplank::bench;  // NOLINT(google-build-using-namespace)
   const std::map<std::string, int (*)()> areas = {
       {"capacity", RunCapacityBench},
+      {"placement", RunPlacementBench},
   };
   if (argc == 2 && areas.count(argv[1]) != 0) return areas.at(argv[1])();
   std::cerr << "usage: mangoplank-bench AREA\nareas:";
--- a/src/placement/job_table.h
+++ b/src/placement/job_table.h
@@ -56,6 +56,8 @@
   bool running = false;
   /// Asked to stop by a decision.
   bool evicting = false;
+  /// Asked to stop by a commit.
+  bool ending = false;
   /// Placed on room that another gang job waits for.
   bool lent = false;
   /// Placed on a quarantined worker to examine it.
--- a/src/placement/make_room.cpp
+++ b/src/placement/make_room.cpp
@@ -54,7 +54,9 @@
   const department& d = departments_.At(j.department);
   bool own_only = false;
   if (!departments_.WithinQuota(j.department, need)) {
-    // The department is at its quota with less urgent work of its own.
+    // Urgent work replaces less urgent work of its own department at the
+    // quota, so that nobody else's share is moved.
+    if (j.u != cell::urgency::kUrgent) return false;
     core::resources as_urgent = d.pledged + need;
     for (auto u = static_cast<std::size_t>(j.u); u < 3; ++u) {
       as_urgent = as_urgent + d.used_by_urgency[u];
@@ -75,7 +77,8 @@
   }
   if (n > 0) reclaim_from_ = (reclaim_from_ + looked) % n;
   if (!best) return false;
-  Evict(best->tasks, evict_reason::kReclaimed);
+  Evict(best->tasks,
+        own_only ? evict_reason::kMoreUrgent : evict_reason::kReclaimed);
   Pledge(j, best->worker, need, now);
   return true;
 }
@@ -88,7 +91,12 @@
                       n.reserved_for == 0 && n.capacity.Holds(need) &&
                       (j.region == kNone || n.region == j.region);
   if (!usable) return std::nullopt;
-  // Urgency counts before the cost, and the latest start loses least work.
+  // For its own urgent work a department's use counts as if that work ran.
+  core::resources wanted;
+  if (own_only) {
+    wanted = core::resources{} - departments_.At(j.department).pledged - need;
+  }
+  // The cost decides first; of equal costs the latest start loses least work.
   using candidate = std::tuple<std::int64_t, std::int64_t, cell::task_id>;
   std::vector<candidate> candidates;
   for (const cell::task_id& id : n.tasks) {
@@ -96,7 +104,7 @@
     const task_slot& t = owner.tasks[id.index];
     if (!MayEvict(owner, t) || owner.uid == j.uid) continue;
     if (own_only && (owner.department != j.department || t.u >= j.u)) continue;
-    if (!departments_.IsBorrowed(owner.department, t.need)) continue;
+    if (!departments_.IsBorrowed(owner.department, t.need, wanted)) continue;
     candidates.emplace_back(EvictionCost(owner, t), -t.since, id);
   }
   std::sort(candidates.begin(), candidates.end());
@@ -113,7 +121,7 @@
       return s.first == owner.department;
     });
     if (it == stopped.end()) {
-      it = stopped.insert(it, {owner.department, core::resources{}});
+      it = stopped.insert(it, {owner.department, wanted});
     }
     if (!departments_.IsBorrowed(owner.department, t.need, it->second)) {
       continue;
@@ -216,7 +224,7 @@
   std::vector<std::int64_t> copies_in(pool_.Regions());
   for (std::int32_t w = 0; w < static_cast<std::int32_t>(pool_.Size()); ++w) {
     const worker& n = pool_.At(w);
-    const bool usable = n.present && !n.drain && !n.quarantined &&
+    const bool usable = n.present && !n.drain && !n.quarantined && !n.kept &&
                         n.reserved_for == 0 && n.capacity.Holds(j.need) &&
                         (q.region == kNone || n.region == q.region);
     if (!usable) continue;
@@ -267,7 +275,7 @@
 std::int64_t scheduler::impl::Evictable(
     std::int32_t w, const job& gang, bool entitled,
     std::vector<cell::task_id>& tasks) const {
-  core::resources room = pool_.At(w).free;
+  core::resources room = pool_.At(w).Open();
   for (const cell::task_id& id : pool_.At(w).tasks) {
     const job& owner = *jobs_.Find(id.job);
     const task_slot& t = owner.tasks[id.index];
--- a/src/placement/observe.cpp
+++ b/src/placement/observe.cpp
@@ -184,7 +184,8 @@
   t.since = record.since;
   t.generation = record.generation;
   SetRunning(j, t, record.phase == cell::task_phase::kRunning);
-  if (record.stopping || record.evicting) SetEvicting(j, t, true);
+  t.ending = record.stopping || record.evicting;
+  if (t.ending) SetEvicting(j, t, true);
   if (IsOutdated(j, t)) outdated_.insert(j.uid);
   return true;
 }
@@ -224,7 +225,8 @@
   task_slot& t = j.tasks[index];
   Hold(j, index, pool_.Intern(record.worker), slot_state::kHeld);
   SetRunning(j, t, record.phase == cell::task_phase::kRunning);
-  if (record.stopping || record.evicting) SetEvicting(j, t, true);
+  t.ending = record.stopping || record.evicting;
+  if (t.ending) SetEvicting(j, t, true);
   if (IsOutdated(j, t)) outdated_.insert(j.uid);
 }
 
@@ -274,6 +276,7 @@
   AddAt(j.by_region, t.region, -1);
   --(t.state == slot_state::kHeld ? j.held : j.promised);
   t.unused = {};
+  t.ending = false;
   t.lent = false;
   t.probe = false;
 }
@@ -339,7 +342,7 @@
                    for (const cell::task_id& id : e.tasks) {
                      task_slot* t = FindSlot(id);
                      if (t == nullptr) continue;
-                     SetEvicting(*jobs_.Find(id.job), *t, false);
+                     SetEvicting(*jobs_.Find(id.job), *t, t->ending);
                      outdated_.insert(id.job);
                    }
                  },
--- a/src/placement/sharing_test.cpp
+++ b/src/placement/sharing_test.cpp
@@ -127,6 +127,27 @@
   EXPECT_EQ(c.Placed(low), 2);
 }
 
+// Guards against urgent work that waits because its department's quota is
+// filled exactly, and against room taken from others for it.
+TEST(SharingTest, UrgentWorkReplacesOwnWorkAtAFullQuota) {
+  test_cell c;
+  c.Worker("w1", kWorker);
+  c.Department("a", 1, {2000, 2048, 0});
+  c.Department("b", 1, {2000, 2048, 0});
+  const auto a = c.Put("a", "fill", Batch(2, kSmall));
+  const auto b = c.Put("b", "fill", Batch(2, kSmall));
+  c.Step();
+  const auto urgent =
+      c.Put("a", "now", Batch(1, kSmall, cell::urgency::kUrgent));
+  const auto evictions = Evictions(c.Step());
+  ASSERT_THAT(evictions, SizeIs(1));
+  EXPECT_EQ(evictions[0].reason, evict_reason::kMoreUrgent);
+  c.Step();
+  EXPECT_EQ(c.Placed(urgent), 1);
+  EXPECT_EQ(c.Placed(a), 1);
+  EXPECT_EQ(c.Placed(b), 2);
+}
+
 // Guards against departments whose children get more than the parent's share.
 TEST(SharingTest, ShareOfParentIsSplitAmongChildren) {
   test_cell c;
--- a/src/placement/worker_pool.cpp
+++ b/src/placement/worker_pool.cpp
@@ -20,7 +20,7 @@
 // Restartable work gains this much from room that others hold and do not use.
 constexpr double kUnusedGain = 0.05;
 // Part of the room left over that counts besides its imbalance.
-constexpr double kLeftOver = 0.25;
+constexpr double kLeftOver = 0.05;
 
 std::uint64_t Mix(std::uint64_t x) {
   // SplitMix64.
@@ -209,11 +209,9 @@
   if (!w.present || w.drain || w.quarantined != q.probe) return false;
   if (q.region != kNone && w.region != q.region) return false;
   if (!q.may_cross && w.region != q.home) return false;
-  if (w.reserved_for != 0 && w.reserved_for != q.job &&
-      !(q.lendable && lending_)) {
-    return false;
-  }
   const bool own_pledge = w.kept && w.kept->job == q.job;
+  const bool reserved = w.reserved_for != 0 && w.reserved_for != q.job;
+  if (reserved && !own_pledge && !(q.lendable && lending_)) return false;
   return (own_pledge ? w.free : w.Open()).Holds(q.need);
 }
 
