--- a/src/apps/bench.h
+++ b/src/apps/bench.h
@@ -14,6 +14,9 @@
 /// Slot shares, overload, quick calls beside bulk work, CPU per call.
 int RunCallsBench();
 
+/// Speed, packing, waiting times and fairness of placement decisions.
+int RunPlacementBench();
+
 }  // namespace mangoplank::bench
 
 #endif  // MANGOPLANK_APPS_BENCH_H_
--- a/src/apps/bench_main.cpp
+++ b/src/apps/bench_main.cpp
@@ -10,6 +10,7 @@
       {"calls", RunCallsBench},
       {"capacity", RunCapacityBench},
       {"state", RunStateBench},
+      {"placement", RunPlacementBench},
   };
   if (argc == 2 && areas.count(argv[1]) != 0) return areas.at(argv[1])();
   std::cerr << "usage: mangoplank-bench AREA\nareas:";
