Say ahead of the table that a report is not whole

Cause: with a damaged history the table began with the verdict 'fine'; only the exit code and standard error told of the failure. Change: the table starts with a line for each failure. Conclusion: the JSON and the page still tell it by the exit code only.

--- a/src/report/program.cpp
+++ b/src/report/program.cpp
@@ -71,6 +71,15 @@
   return exit_code::kFailed;
 }
 
+/// @return lines ahead of a table whose verdict is not that of all counts.
+std::string Incomplete(const std::vector<core::failure>& failures) {
+  std::string out;
+  for (const core::failure& f : failures) {
+    out += "incomplete report: " + core::Describe(f) + "\n";
+  }
+  return out;
+}
+
 /// Puts the answers into the history and takes the place of the answers with
 /// what it then holds.
 void KeepHistory(const std::string& file, core::wall_time_ms now, answers* a,
@@ -104,8 +113,9 @@
     KeepHistory(*request.history, now, &a, &result.failures);
   }
   const burn_report r = Evaluate(a.merged, now);
-  result.text = request.o == output::kJson ? ToJson(r, a.missing) + "\n"
-                                           : Table(r, a.missing);
+  result.text = request.o == output::kJson
+                    ? ToJson(r, a.missing) + "\n"
+                    : Incomplete(result.failures) + Table(r, a.missing);
   if (request.html) WritePage(*request.html, r, a, &result.failures);
   result.code = result.failures.empty() ? CodeOf(r.worst) : exit_code::kFailed;
   co_return result;
--- a/src/report/program_test.cpp
+++ b/src/report/program_test.cpp
@@ -192,7 +192,9 @@
   EXPECT_GT(std::filesystem::file_size(*request.html), 0u);
   std::ofstream(*request.history) << "damaged";
   asio::io_context again;
-  EXPECT_EQ(RunAgainst(again, request).code, exit_code::kFailed);
+  const report_result damaged = RunAgainst(again, request);
+  EXPECT_EQ(damaged.code, exit_code::kFailed);
+  EXPECT_THAT(damaged.text, HasSubstr("incomplete report"));
   std::filesystem::remove_all(folder);
 }
 
