Lint: no structured binding in a lambda's capture

Cause: clang-tidy 14 refuses a reference to a structured binding in a lambda. Change: the test captures a copy.

--- a/src/api/objects_test.cpp
+++ b/src/api/objects_test.cpp
@@ -221,7 +221,7 @@
       {core::storage_failed{core::storage_failed::kind::kFull, "/data", "x"},
        500}};
   for (const auto& [failure, status] : expected) {
-    cell.OnCell([&] { cell.client.fails = failure; });
+    cell.OnCell([&cell, f = failure] { cell.client.fails = f; });
     const answer a = c.Send("GET", kPlanner, kKitchens);
     EXPECT_EQ(a.status, status);
     EXPECT_EQ(a.headers.at("content-type"), "application/problem+json");
