History: values of configurations count against its bound

Cause: the estimated size of a change left out the values of configurations, so the history kept them without a bound: of 30 versions of 100 kB each, none was dropped at a bound of 1 MiB.

Change: the estimate counts keys and values. A test compares a follower with random gaps and resumptions to a full copy, over 100 random histories from seeds; another one checks the bound.

--- a/src/distribution/history.cpp
+++ b/src/distribution/history.cpp
@@ -69,12 +69,24 @@
       c);
 }
 
-std::size_t ProgramBytes(const cell::object_spec& spec) {
+std::size_t ValueBytes(const cell::configuration_spec& spec) {
+  std::size_t bytes = 0;
+  for (const auto& [key, value] : spec.values) {
+    bytes += sizeof(std::pair<std::string, std::string>);
+    bytes += key.size() + value.size();
+  }
+  return bytes;
+}
+
+/// @return bytes of the parts of a spec that may be large.
+std::size_t LargeBytes(const cell::object_spec& spec) {
   return std::visit(
-      overloaded{[](const cell::service_spec& s) { return s.program.size(); },
-                 [](const cell::batch_job_spec& s) { return s.program.size(); },
-                 [](const cell::gang_job_spec& s) { return s.program.size(); },
-                 [](const auto&) { return std::size_t{0}; }},
+      overloaded{
+          [](const cell::service_spec& s) { return s.program.size(); },
+          [](const cell::batch_job_spec& s) { return s.program.size(); },
+          [](const cell::gang_job_spec& s) { return s.program.size(); },
+          [](const cell::configuration_spec& s) { return ValueBytes(s); },
+          [](const auto&) { return std::size_t{0}; }},
       spec);
 }
 
@@ -83,7 +95,7 @@
   for (const cell::change& c : changes) {
     bytes += sizeof(cell::change);
     if (const auto* const o = std::get_if<cell::object_changed>(&c)) {
-      bytes += ProgramBytes(o->now.spec);
+      bytes += LargeBytes(o->now.spec);
     }
     if (const auto* const r = std::get_if<cell::call_changed>(&c)) {
       bytes += r->now.outcome ? r->now.outcome->body.size() : 0;
