Fault schedules: loss of power, slow syncs and slow writers

Cause: trials on a scratch copy with single faults put into the code showed that the schedules missed acknowledgements before the sync, and votes against a lease promise. Change: schedules stop all members at once, syncs take up to 40 ms, and in every third one the writers pause up to 2.5 s, so that a member that hears no leader keeps a current log.

--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -209,7 +209,10 @@
   std::shared_ptr<fake_runner> runner;
   std::shared_ptr<recording_machine> machine;
   std::unique_ptr<node> n;
-  std::optional<core::outcome<void>> started;
+  /// Result of Start, once it has ended.
+  std::shared_ptr<std::optional<core::outcome<void>>> started;
+
+  bool HasStarted() const { return started && *started && **started; }
 };
 
 class fake_cluster {
@@ -262,11 +265,10 @@
     s.self = m.who.id;
     m.n = std::make_unique<node>(s, context.get_executor(), *m.clock, *m.links,
                                  *m.files, *m.runner, *m.machine, random());
-    m.started.reset();
     network.Listen(m.who.id, [this, i](std::shared_ptr<peer_link> l) {
       Go(members[i]->n->Serve(std::move(l)));
     });
-    Go(StartNode(m));
+    m.started = Go(m.n->Start());
     Pump();
   }
 
@@ -345,12 +347,6 @@
                                      std::shared_ptr<std::optional<T>> place) {
     *place = co_await std::move(task);
   }
-  static core::awaitable<void> StartNode(fake_member& m) {
-    node& n = *m.n;
-    auto started = co_await n.Start();
-    m.started = std::move(started);
-  }
-
   std::vector<std::unique_ptr<fake_member>> graveyard_;
 };
 
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -218,8 +218,8 @@
   c.base.create = false;
   c.Start(lost);
   c.RunFor(seconds(1));
-  ASSERT_TRUE(c.members[lost]->started);
-  EXPECT_FALSE(*c.members[lost]->started);
+  ASSERT_TRUE(c.members[lost]->started->has_value());
+  EXPECT_FALSE(c.members[lost]->HasStarted());
   c.Crash(lost);
   c.base.join = true;
   c.Start(lost);
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kDefaultSchedules = 400;
 constexpr std::size_t kClients = 4;
+constexpr core::duration kTick = milliseconds(1);
 
 class schedule {
  public:
@@ -28,6 +29,10 @@
            }) {
     // Rates differ by less than 5% between any two clocks.
     c_.skew = 0.024;
+    // With few writes, a member that hears no leader keeps a current log and
+    // can win votes.
+    if (seed % 3 == 0) pace_ = milliseconds(2500);
+    c_.longest_sync = milliseconds(1 + random_() % 40);
     c_.base.snapshot_after_bytes = 1500;
     c_.base.snapshot_chunk_bytes = 200;
     c_.base.max_batch_bytes = 300;
@@ -76,7 +81,7 @@
   void Disturb() {
     const std::size_t i = Any();
     const bool runs = c_.members[i]->n != nullptr;
-    switch (random_() % 10) {
+    switch (random_() % 11) {
       case 0:
       case 1:
         if (runs) c_.Crash(i);
@@ -101,6 +106,10 @@
         cuts_.clear();
         break;
       case 8:
+        // Loss of power at all members at once.
+        for (std::size_t k = 0; k < c_.members.size(); ++k) c_.Crash(k);
+        break;
+      case 9:
         if (runs) c_.Go(Change(i, c_.members[Any()]->who));
         break;
       default:
@@ -110,6 +119,7 @@
 
   void Heal() {
     noisy_ = false;
+    pace_ = milliseconds(150);
     cuts_.clear();
     for (std::size_t i = 0; i < c_.members.size(); ++i) {
       if (!c_.members[i]->n) c_.Start(i);
@@ -128,7 +138,7 @@
   core::awaitable<void> Write(std::size_t client) {
     ++running_;
     for (int k = 0; !done_; ++k) {
-      co_await core::SleepFor(c_.clock, milliseconds(random_() % 150));
+      co_await core::SleepFor(c_.clock, random_() % pace_.count() * kTick);
       const std::size_t i = Any();
       if (!c_.members[i]->n) continue;
       std::string command = std::to_string(client) + "/" + std::to_string(k);
@@ -142,7 +152,7 @@
   core::awaitable<void> Read() {
     ++running_;
     while (!done_) {
-      co_await core::SleepFor(c_.clock, milliseconds(random_() % 150));
+      co_await core::SleepFor(c_.clock, random_() % pace_.count() * kTick);
       const std::size_t i = Any();
       if (!c_.members[i]->n) continue;
       const core::revision newest =
@@ -171,7 +181,7 @@
     EXPECT_EQ(running_, 0u) << "a proposal or read hangs";
     ASSERT_TRUE(c_.Leader()) << "no leader after all faults ended";
     for (const auto& m : c_.members) {
-      ASSERT_TRUE(m->started && *m->started);
+      ASSERT_TRUE(m->HasStarted());
       const auto& applied = m->machine->applied;
       // Equal to the one history, without gaps.
       EXPECT_EQ((std::map(applied.begin(), applied.end())), history_);
@@ -185,6 +195,8 @@
   }
 
   std::mt19937_64 random_;
+  /// Longest pause of a client between two requests.
+  milliseconds pace_{150};
   bool noisy_ = true;
   bool done_ = false;
   std::size_t running_ = 0;
