A member that loses its vote may be elected until that is committed

The leader had appended its own demotion and then stopped; it alone held that entry, so its log was ahead of the only voter's, which could not win, and it did not campaign itself. Change: a member campaigns while its vote is in a membership that is not yet replaced by a committed one, as in Ongaro's thesis, section 4.2.2. Conclusion: a cell can't be left without a candidate by a demotion.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -36,7 +36,7 @@
       co_await RunElection(true);
       continue;
     }
-    const bool able = IsVoter() && !Leads();
+    const bool able = MayCampaign() && !Leads();
     // Nobody else can hold a lease in a cell of one voter.
     const bool alone = able && MajorityOf([&](const member& m) {
                                  return m.id == settings.self ? 1 : 0;
@@ -63,7 +63,7 @@
     const bool welcome = co_await Campaign(true, false);
     if (!welcome) co_return;
   }
-  if (ended || Leads() || !IsVoter()) co_return;
+  if (ended || Leads() || !MayCampaign()) co_return;
   Follow(hard.t + 1, std::nullopt);
   SetTerm(hard.t, settings.self);
   const core::term t = hard.t;
--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -283,9 +283,11 @@
     network.CloseLinksOf(m.who.id);
     Pump();
     const auto after = m.files->AfterCrash(random);
-    graveyard_.push_back(std::make_unique<fake_member>(std::move(m)));
-    m.who = graveyard_.back()->who;
-    m.files = after;
+    const member who = m.who;
+    graveyard_.push_back(
+        std::exchange(members[i], std::make_unique<fake_member>()));
+    members[i]->who = who;
+    members[i]->files = after;
   }
 
   void Pump() {
--- a/src/consensus/members.cpp
+++ b/src/consensus/members.cpp
@@ -48,6 +48,20 @@
 
 bool node::impl::IsVoter() const { return Counts(settings.self, own_disk); }
 
+/// A member that is to lose its vote may hold the only copy of the entry that
+/// takes it away, so it may be elected until that entry is committed.
+bool node::impl::MayCampaign() const {
+  const core::revision from = MembersAt(committed).at;
+  for (const membership& known : memberships) {
+    if (known.at < from) continue;
+    for (const member& m : known.members) {
+      const bool same_disk = m.disk == 0 || m.disk == own_disk;
+      if (m.id == settings.self && m.voter && same_disk) return true;
+    }
+  }
+  return false;
+}
+
 bool node::impl::Counts(const core::member_id& id,
                         std::uint64_t disk_id) const {
   const member* m = Find(id);
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -232,6 +232,7 @@
   membership MembersAt(core::revision at) const;
   const member* Find(const core::member_id& id) const;
   bool IsVoter() const;
+  bool MayCampaign() const;
   bool ChangeInProgress() const;
   bool HasOtherDisk(const core::member_id& id, std::uint64_t disk_id) const;
   /// @return whether a vote or reply from this member and disk counts.
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -177,9 +177,24 @@
     ASSERT_LE(holders, 1u) << "two members hold the lease";
   }
 
+  std::string Dump() const {
+    std::string out;
+    for (const auto& m : c_.members) {
+      const node_status s = m->n->Status();
+      out += "\n" + m->who.id.v + " term " + std::to_string(s.t) +
+             " committed " + std::to_string(s.committed) + " members at " +
+             std::to_string(s.members.at) + ":";
+      for (const member& one : s.members.members) {
+        out += " " + one.id.v + (one.voter ? " voter " : " learner ") +
+               std::to_string(one.disk);
+      }
+    }
+    return out;
+  }
+
   void CheckEnd() {
     EXPECT_EQ(running_, 0u) << "a proposal or read hangs";
-    ASSERT_TRUE(c_.Leader()) << "no leader after all faults ended";
+    ASSERT_TRUE(c_.Leader()) << "no leader after all faults ended" << Dump();
     for (const auto& m : c_.members) {
       ASSERT_TRUE(m->HasStarted());
       const auto& applied = m->machine->applied;
