Calls: early slot reports, bounded demand, pools of ended incarnations

Cause: the first call to a service waited for the next regular report; a report listed each service that was ever called; pools of ended incarnations of workers stayed until someone closed them.

Change: dispatcher::NeedsReport tells the entry to report at once; a service without calls for 60 s is not listed; a new pool drops unused ones.

--- a/include/mangoplank/calls/dispatcher.h
+++ b/include/mangoplank/calls/dispatcher.h
@@ -59,6 +59,9 @@
   /// @return demand since the last report, and the newest set of grants that
   /// the calls in flight keep to.
   control::slot_report Report();
+  /// Notified when a call waits for a service of which no slot is granted; a
+  /// report sent then saves it the wait for the next regular one.
+  core::event& NeedsReport();
   /// While cut off, calls that have not been sent are refused.
   void SetCutOff(bool cut_off);
   /// Refuses new calls and waits until those accepted have ended.
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -27,6 +27,7 @@
 /// Standard deviations of Poisson arrivals above the mean: a small entry needs
 /// relatively more slots for the same waiting time.
 constexpr double kMargin = 2;
+constexpr core::duration kIdleServiceMemory = std::chrono::seconds(60);
 /// Relative change below which the last value is reported again. A share that
 /// shrinks leaves no free slot until calls in flight have ended, so shares
 /// should not follow the noise of arrivals.
@@ -78,6 +79,7 @@
       retries(s.retry_budget),
       hedges(s.hedge_budget),
       idle(executor, clock),
+      needs_report(executor, clock),
       retries_total(m.Counter("mangoplank_call_retries_total",
                               "Attempts after a failed or slow one.")),
       hedges_total(m.Counter("mangoplank_call_hedges_total",
@@ -141,6 +143,7 @@
 void dispatcher::impl::Arrived(const call& c, bool bulk) {
   service_state& s = services[ServiceOf(c)];
   ++s.wanted;
+  s.last_call = clock.Now();
   const auto known = s.run_time.find(c.operation);
   const core::duration run =
       known == s.run_time.end() ? kUnknownRunTime : known->second.Mean();
@@ -385,7 +388,9 @@
   if (now < kept.end) report.held = kept.grants;
   for (auto& [service, s] : impl_->services) {
     impl::Smooth(s, now - impl_->last_report);
-    // A service without demand is listed as well, so that it keeps a share.
+    // A service without demand keeps a share for a while; listing all that
+    // were ever called would cost too much of the entry's bandwidth.
+    if (s.wanted == 0 && s.last_call + kIdleServiceMemory < now) continue;
     report.demand.push_back({service, static_cast<std::int64_t>(std::ceil(
                                           s.reported / kDemandUnit))});
   }
@@ -396,6 +401,8 @@
   return report;
 }
 
+core::event& dispatcher::NeedsReport() { return impl_->needs_report; }
+
 void dispatcher::SetCutOff(bool cut_off) {
   impl_->cut_off = cut_off;
   if (cut_off) impl_->RefuseWaiting(end_reason::kCutOff);
--- a/src/calls/dispatcher_impl.h
+++ b/src/calls/dispatcher_impl.h
@@ -62,6 +62,7 @@
     double quick_smoothed = 0;
     /// Slots wanted, as last reported.
     double reported = 0;
+    core::time_point last_call{};
     /// Of quick and of bulk calls.
     std::array<queue_rate, 2> rates;
     std::map<std::string, duration_estimate> run_time;
@@ -116,6 +117,7 @@
   /// @return no slot and w->refused otherwise.
   static awaitable<std::optional<slot>> Acquire(self_ptr self,
                                                 std::shared_ptr<slot_wish> w);
+  bool HasGrant(const cell::object_key& service);
   bool ServeWish(slot_wish& w);
   /// Gives free slots to waiting calls.
   void Pump();
@@ -232,6 +234,7 @@
   /// Calls accepted and not ended, and once-calls whose outcome is sought.
   std::int64_t active = 0;
   core::event idle;
+  core::event needs_report;
   bool cut_off = false;
   bool draining = false;
   bool pumping = false;
--- a/src/calls/dispatcher_test.cpp
+++ b/src/calls/dispatcher_test.cpp
@@ -207,6 +207,27 @@
   EXPECT_EQ(cell_.Starts("a"), 0);
 }
 
+core::awaitable<void> KeepNeeded(dispatcher& d, bool& needed) {
+  co_await d.NeedsReport().Wait();
+  needed = true;
+}
+
+// Guards against a first call that waits for the next regular report.
+TEST_F(DispatcherTest, AsksForAReportWhenNoSlotIsGranted) {
+  const auto d = cell_.MakeDispatcher("e2", "kalisz");
+  bool needed = false;
+  boost::asio::co_spawn(cell_.time.io, KeepNeeded(*d, needed),
+                        boost::asio::detached);
+  cell_.time.RunFor(1ms);
+  const auto end = cell_.Start(*d, cell_.Call("check", "a", 300ms));
+  cell_.time.RunFor(1ms);
+  EXPECT_TRUE(needed);
+  cell_.Grant(*d, 1);
+  cell_.time.RunFor(50ms);
+  ASSERT_TRUE(*end);
+  EXPECT_EQ((*end)->e, ending::kDone);
+}
+
 // Guards against billed bytes while the own region can answer, and against a
 // refusal while only another region can.
 TEST_F(DispatcherTest, AnotherRegionServesOnlyWhenTheOwnCantInTime) {
--- a/src/calls/http_transport.cpp
+++ b/src/calls/http_transport.cpp
@@ -169,9 +169,22 @@
   };
 
   std::shared_ptr<pool> PoolOf(const worker_target& to) {
-    auto& p = pools[{to.worker, to.incarnation, to.address}];
-    if (!p) p = std::make_shared<pool>(executor, clock);
-    return p;
+    const pool_key key{to.worker, to.incarnation, to.address};
+    const auto it = pools.find(key);
+    if (it != pools.end()) return it->second;
+    // A new incarnation is the time to drop the pools of ended ones.
+    DropUnused();
+    return pools[key] = std::make_shared<pool>(executor, clock);
+  }
+
+  void DropUnused() {
+    const core::time_point oldest = clock.Now() - settings.idle_timeout;
+    std::erase_if(pools, [&](const auto& entry) {
+      pool& p = *entry.second;
+      std::erase_if(p.idle,
+                    [&](const auto& c) { return c->last_used < oldest; });
+      return p.open == 0 && p.idle.empty();
+    });
   }
 
   /// @return an idle connection on which nothing has happened since its last
@@ -293,14 +306,6 @@
   return impl::Exchange(impl_, std::move(to), std::move(r), deadline);
 }
 
-void http_transport::CloseIdle() {
-  std::erase_if(impl_->pools, [this](const auto& entry) {
-    pool& p = *entry.second;
-    const core::time_point oldest =
-        impl_->clock.Now() - impl_->settings.idle_timeout;
-    std::erase_if(p.idle, [&](const auto& c) { return c->last_used < oldest; });
-    return p.open == 0 && p.idle.empty();
-  });
-}
+void http_transport::CloseIdle() { impl_->DropUnused(); }
 
 }  // namespace mangoplank::calls
--- a/src/calls/routing.cpp
+++ b/src/calls/routing.cpp
@@ -175,6 +175,7 @@
   w->refused = self->RefuseEarly(*w);
   if (w->refused) co_return std::nullopt;
   self->queue.Add(w);
+  if (!self->HasGrant(w->service)) self->needs_report.NotifyAll();
   self->waiting_gauge.Set(static_cast<double>(self->queue.Size()));
   while (!w->given && !w->refused) {
     if (co_await w->decided.WaitUntil(w->deadline)) continue;
@@ -190,6 +191,13 @@
   co_return std::optional<slot>(std::move(held));
 }
 
+bool dispatcher::impl::HasGrant(const cell::object_key& service) {
+  const std::vector<route>& all = RoutesOf(service);
+  return std::any_of(all.begin(), all.end(), [&](const route& r) {
+    return slots.Find(KeyOf(r.target), clock.Now()) != nullptr;
+  });
+}
+
 bool dispatcher::impl::ServeWish(slot_wish& w) {
   const core::time_point now = clock.Now();
   if (now + ExpectedRun(w) > w.deadline) {
