--- a/src/apps/bench_placement.cpp
+++ b/src/apps/bench_placement.cpp
@@ -172,6 +172,8 @@
   for (int i = 0; i < 200 && w.Step() > 0; ++i) {
   }
   for (int k = 0; k < kKinds; ++k) w.Waits(static_cast<kind>(k)).clear();
+  const core::time_point start = w.Now() + std::chrono::seconds(1);
+  w.AdvanceTo(start);
   for (int second = 0; second < seconds; ++second) {
     Arrive(w, size, second);
     for (int i = 0; i < 4; ++i) {
@@ -179,7 +181,7 @@
       w.Step();
     }
   }
-  if (backlog == 0) w.CountUnstarted();
+  w.CountUnstarted(start);
   PrintWaits(w, name);
   Print(fmt::format("placement.{}.evictions", name),
         static_cast<double>(w.Evictions()), "tasks");
@@ -188,11 +190,15 @@
 
 /// Distance of departments from their shares while all have work waiting.
 /// Without quotas, which come before shares.
-void MeasureFairness(world_size size, int seconds) {
+void MeasureFairness(world_size size, int seconds, double history) {
   size.quotas = 0;
-  placement_world w(size, policy{}, kSeed);
+  policy p;
+  p.history_weight = history;
+  placement_world w(size, p, kSeed);
   double worst = 0;
   double worst_relative = 0;
+  double in_use = 0;
+  int samples = 0;
   for (int second = 0; second < seconds; ++second) {
     for (int t = 0; second % 20 == 0 && t < size.teams; ++t) {
       // Enough that a team's queue never runs empty.
@@ -204,6 +210,8 @@
     }
     // The first tasks end after 60 s; before that the mix is one of start-up.
     if (second < 120 || second % 10 != 0) continue;
+    in_use += Part(w.Held().cpu_milli, w.Total().cpu_milli);
+    ++samples;
     double all = 0;
     double due = 0;
     std::vector<placement::share> shares = w.Scheduler().Shares(w.Now());
@@ -220,8 +228,10 @@
       worst_relative = std::max(worst_relative, off / (s.due / due));
     }
   }
-  const std::string name = fmt::format("placement.{}.fairness_", size.name);
+  const std::string name =
+      fmt::format("placement.{}.history_{:g}.fairness_", size.name, history);
   Print(name + "worst_distance", 100 * worst, "percent_of_cell");
+  Print(name + "cpu_in_use", 100 * in_use / samples, "percent");
   Print(name + "worst_relative", 100 * worst_relative, "percent_of_share");
 }
 
@@ -337,8 +347,10 @@
   for (const strategy& s : Strategies()) MeasureSlope(s, 15);
   all = all * 31 + MeasureWaits(kDesign, 300, 0, "design.normal");
   all = all * 31 + MeasureWaits(kDesign, 120, 20, "design.saturated");
-  MeasureFairness(kDesign, 300);
-  MeasureFairness(kTally, 300);
+  for (const double history : {0.0, 0.5}) {
+    MeasureFairness(kDesign, 300, history);
+    MeasureFairness(kTally, 300, history);
+  }
   MeasureCancellations(kDesign);
   MeasureMemory();
   fmt::print("placement.signature {:016x} hash\n", all);
--- a/src/apps/bench_placement_world.cpp
+++ b/src/apps/bench_placement_world.cpp
@@ -231,10 +231,11 @@
 
 void placement_world::Commit(const placement::unsatisfiable& u) { Sign(u.uid); }
 
-void placement_world::CountUnstarted() {
+void placement_world::CountUnstarted(core::time_point since) {
   for (const auto& [id, t] : waiting_) {
     if (t.attempt > 0) continue;
     const job_info& info = jobs_.at(id.job);
+    if (info.arrived < since) continue;
     const std::chrono::duration<double> waited = now_ - info.arrived;
     Waits(info.k).push_back(waited.count());
   }
--- a/src/apps/bench_placement_world.h
+++ b/src/apps/bench_placement_world.h
@@ -66,8 +66,9 @@
   void ClearTimes() { decide_ns_.clear(); }
   /// Seconds from arrival to start, by kind.
   std::vector<double>& Waits(kind k) { return waits_[static_cast<int>(k)]; }
-  /// Adds the waiting times so far of tasks that still wait.
-  void CountUnstarted();
+  /// Adds the waiting times so far of tasks that arrived from `since` on and
+  /// still wait.
+  void CountUnstarted(core::time_point since);
   placement::scheduler& Scheduler() { return scheduler_; }
   static std::string TeamName(int team);
 
