Entries count calls against objectives

Change: objective_meter wraps the dispatcher and counts the end of each call; GET /v1/objectives serves the counts, of the caller's department only; slot reports also go out when a call waits for a first slot.

--- a/include/mangoplank/api/resource_interface.h
+++ b/include/mangoplank/api/resource_interface.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPLANK_API_RESOURCE_INTERFACE_H_
 #define MANGOPLANK_API_RESOURCE_INTERFACE_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -49,6 +50,9 @@
   membership::announcer& announcer;
   metrics::registry& metrics;
   core::clock& clock;
+  /// @return the calls counted against objectives, as JSON, of one department
+  /// or of all if it is empty. Without it /v1/objectives is not found.
+  std::function<std::string(const core::department_id&)> objectives;
 };
 
 /// Serves the resource interface described in docs/api.md.
--- a/src/api/resource_interface.cpp
+++ b/src/api/resource_interface.cpp
@@ -101,6 +101,9 @@
           [](const status_route&) {
             return access_need{level::kRead, {}};
           },
+          [](const objectives_route&) {
+            return access_need{level::kRead, {}};
+          },
           [](const auto&) {
             return access_need{level::kAdminister, {}};
           }},
@@ -149,6 +152,7 @@
   result Item(const exchange& x, item_route to);
   result Announce(const exchange& x, announce_route to);
   result Status(const exchange& x);
+  result Objectives(const exchange& x);
   result Text(const exchange& x, route to);
   result Watch(const exchange& x, watch_filter filter);
   template <class R>
@@ -293,6 +297,7 @@
             return Wrap(calls.Resolve(x, std::move(c)));
           },
           [&](const status_route&) { return Status(x); },
+          [&](const objectives_route&) { return Objectives(x); },
           [&](const auto& open) { return Text(x, open); }},
       to);
 }
@@ -367,6 +372,14 @@
   co_return reply(JsonResponse(200, WriteReply(*answer)));
 }
 
+resource_interface::impl::result resource_interface::impl::Objectives(
+    const exchange& x) {
+  if (!parts.objectives) co_return core::failure(core::not_found{"objectives"});
+  response r{.body = parts.objectives(DepartmentOf(x.who))};
+  r.headers["content-type"] = "application/json";
+  co_return reply(std::move(r));
+}
+
 resource_interface::impl::result resource_interface::impl::Status(
     const exchange& x) {
   control::request ask(control::status_request{});
--- a/src/api/target.cpp
+++ b/src/api/target.cpp
@@ -160,6 +160,9 @@
   if (path.size() == 1 && path[0] == "metrics") return route(metrics_route{});
   if (path.size() < 2 || path[0] != "v1") return UnknownPath();
   if (path.size() == 2 && path[1] == "status") return route(status_route{});
+  if (path.size() == 2 && path[1] == "objectives") {
+    return route(objectives_route{});
+  }
   const auto outer = KindOfCollection(path[1]);
   if (!outer || IsDepartmental(*outer)) return UnknownPath();
   if (*outer != cell::object_kind::kDepartment || path.size() < 4) {
--- a/src/api/target.h
+++ b/src/api/target.h
@@ -28,6 +28,11 @@
 struct status_route {
   friend bool operator==(const status_route&, const status_route&) = default;
 };
+/// `/v1/objectives`
+struct objectives_route {
+  friend bool operator==(const objectives_route&,
+                         const objectives_route&) = default;
+};
 /// All objects of a kind, in one department if the kind belongs to one.
 struct collection_route {
   cell::object_kind k = cell::object_kind::kService;
@@ -74,10 +79,10 @@
                          const call_record_route&) = default;
 };
 
-using route =
-    std::variant<health_route, ready_route, metrics_route, status_route,
-                 collection_route, item_route, cancel_route, explain_route,
-                 drain_route, announce_route, call_route, call_record_route>;
+using route = std::variant<health_route, ready_route, metrics_route,
+                           status_route, objectives_route, collection_route,
+                           item_route, cancel_route, explain_route, drain_route,
+                           announce_route, call_route, call_record_route>;
 
 using query_map = std::map<std::string, std::string, std::less<>>;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -15,6 +15,7 @@
 #include "mangoplank/calls/http_transport.h"
 #include "mangoplank/control/leader_client.h"
 #include "mangoplank/membership/entry_announcer.h"
+#include "objective_meter.h"
 #include "slot_reporter.h"
 
 namespace mangoplank::entry {
@@ -93,8 +94,12 @@
         dispatcher_({}, io_.get_executor(), clock_, view_, client_, transport_,
                     registry_, hello_.entry, hello_.incarnation, hello_.region,
                     std::random_device()()),
-        interface_({client_, view_, dispatcher_, announcer_, registry_, clock_},
-                   InterfaceSettings(v, hello_)),
+        meter_(dispatcher_, view_, clock_, {hello_.entry, hello_.incarnation},
+               hello_.region),
+        interface_(
+            {client_, view_, meter_, announcer_, registry_, clock_,
+             [this](const core::department_id& d) { return meter_.Json(d); }},
+            InterfaceSettings(v, hello_)),
         server_(io_.get_executor(), clock_, interface_, registry_,
                 ServerLimits(v)),
         signals_(io_, SIGTERM, SIGINT) {}
@@ -128,6 +133,7 @@
       const auto batch = co_await feed->Next(clock_.Now() + kFeedWait);
       if (batch) {
         view_.Apply(*batch, clock_.Now());
+        meter_.Refresh();
         client_.SetInForce(view_.At());
         continue;
       }
@@ -162,7 +168,7 @@
     while (true) {
       // Without a leader there is nobody to report to; the grants run out.
       client_.Send(slots_.Next(dispatcher_.Report(), clock_.Now()));
-      co_await core::SleepFor(clock_, interval);
+      co_await dispatcher_.NeedsReport().WaitUntil(clock_.Now() + interval);
     }
   }
 
@@ -197,6 +203,7 @@
   membership::entry_announcer announcer_;
   calls::http_transport transport_;
   calls::dispatcher dispatcher_;
+  objective_meter meter_;
   api::resource_interface interface_;
   api::server server_;
   asio::signal_set signals_;
