A torn frame header at a sector boundary is cut

The start was refused as corrupt. Change: without a good header, an unwritten sector part of any length marks a torn write.

--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -196,7 +196,8 @@
     EXPECT_EQ(running_, 0u) << "a proposal or read hangs";
     ASSERT_TRUE(c_.Leader()) << "no leader after all faults ended" << Dump();
     for (const auto& m : c_.members) {
-      ASSERT_TRUE(m->HasStarted());
+      ASSERT_TRUE(m->HasStarted())
+          << (*m->started ? core::Describe((*m->started)->error()) : "waits");
       const auto& applied = m->machine->applied;
       // Equal to the one history, without gaps.
       EXPECT_EQ((std::map(applied.begin(), applied.end())), history_);
--- a/src/consensus/store.cpp
+++ b/src/consensus/store.cpp
@@ -136,13 +136,14 @@
 
 /// @return whether a sector's part of the range is all zeros, as where a write
 /// did not reach the disk.
-bool HasHole(std::string_view data, std::size_t from, std::size_t to) {
+bool HasHole(std::string_view data, std::size_t from, std::size_t to,
+             std::size_t shortest) {
   while (from < to) {
     const std::size_t sector_end = (from / kSectorBytes + 1) * kSectorBytes;
     const std::size_t end = std::min(to, sector_end);
     const std::string_view part = data.substr(from, end - from);
     const bool zeros = part.find_first_not_of('\0') == std::string_view::npos;
-    if (zeros && part.size() >= kShortestHoleBytes) return true;
+    if (zeros && part.size() >= shortest) return true;
     from = end;
   }
   return false;
@@ -155,7 +156,10 @@
   if (f.end && *f.end > data.size()) return true;
   if (f.end && *f.end < data.size()) return false;
   if (data.size() - from < kFrameHeaderBytes) return true;
-  return HasHole(data, from, data.size());
+  // Without a good header the file may end anywhere in the frame, also shortly
+  // after a sector that was not written.
+  const std::size_t shortest = f.end ? kShortestHoleBytes : 1;
+  return HasHole(data, from, data.size(), shortest);
 }
 
 }  // namespace
