A refused resend of a booking hears the recorded outcome

Cause: an entry that was full, draining or cut off answered not_run to the resend of a booking that had run through another entry; the caller would book again. Seen in a trial of the whole path (429 not_run after 200 done). Change: before a request with a key is refused as not_run, its record is read; without the record the answer is outcome_unknown. The dispatcher numbers slot reports itself, so the entry's copy of that logic goes. Conclusion: not_run is only said where the record does not contradict it.

--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -198,7 +198,10 @@
   const auto refused = self->Check(c);
   if (refused) {
     call_end end = self->Refusal(*refused);
-    self->CountEnd(end, false, false, core::duration::zero());
+    if (!c.idempotency_key.empty()) {
+      end = co_await ConfirmNotRun(self, KeyOf(c), std::move(end));
+    }
+    self->CountEnd(end, false, false, self->clock.Now() - start);
     co_return end;
   }
   const cell::operation* const op = FindOperation(self->view, c);
@@ -210,6 +213,7 @@
   call_end end;
   if (once) {
     end = co_await RunOnce(self, c, bulk);
+    end = co_await ConfirmNotRun(self, KeyOf(c), std::move(end));
   } else {
     end = co_await RunIdempotent(self, c, bulk);
   }
--- a/src/calls/dispatcher_impl.h
+++ b/src/calls/dispatcher_impl.h
@@ -11,6 +11,9 @@
 
 namespace mangoplank::calls {
 
+/// @return the key under which a once-call is recorded.
+cell::call_key KeyOf(const call& c);
+
 /// State of the dispatcher. Its tasks share it, so that one which ends after
 /// the dispatcher was destroyed finds it.
 struct dispatcher::impl : std::enable_shared_from_this<dispatcher::impl> {
@@ -156,6 +159,12 @@
 
   // Once-calls (once_call.cpp).
   static awaitable<call_end> RunOnce(self_ptr self, call c, bool bulk);
+  /// Checks a refusal against the record: the refused request may be a resend
+  /// of one that ran, and its caller must not book again under another key.
+  /// @return `end`, the recorded outcome, or unknown if the record can't be
+  /// read.
+  static awaitable<call_end> ConfirmNotRun(self_ptr self, cell::call_key key,
+                                           call_end end);
   /// Carries a once-call to its end, whether or not its caller still waits.
   static awaitable<void> Fly(self_ptr self, std::shared_ptr<flight> f, call c,
                              bool bulk);
--- a/src/calls/dispatcher_test.cpp
+++ b/src/calls/dispatcher_test.cpp
@@ -48,6 +48,24 @@
   EXPECT_EQ(cell_.control.asked, 0u);
 }
 
+// Guards against a caller who hears not_run of a booking that ran, since the
+// resend met an entry that is full, draining or cut off, and books again.
+TEST_F(DispatcherTest, ARefusedResendHearsTheRecordedOutcome) {
+  const call book = cell_.Call("book", "a", 1s, "k1");
+  ASSERT_EQ(cell_.Run(*d_, book).e, ending::kDone);
+  const auto full = cell_.MakeDispatcher("e2", "kalisz");
+  const auto run = [&](const std::string& body, const std::string& key) {
+    const auto end = cell_.Start(*full, cell_.Call("book", body, 50ms, key));
+    cell_.time.RunFor(1s);
+    return end->value();
+  };
+  EXPECT_EQ(run("a", "k1").body, "answer:a");
+  EXPECT_EQ(run("b", "k2").e, ending::kNotRun);
+  full->SetCutOff(true);
+  EXPECT_EQ(run("a", "k1").e, ending::kOutcomeUnknown);
+  EXPECT_EQ(run("a", "k1").handle, kKey);
+}
+
 // Guards against a booking that reaches a worker without a recorded intent, or
 // a caller who hears of it before the outcome is recorded.
 TEST_F(DispatcherTest, AOnceCallIsRecordedBeforeItIsSentAndAnswered) {
--- a/src/calls/once_call.cpp
+++ b/src/calls/once_call.cpp
@@ -19,6 +19,8 @@
 
 constexpr core::duration kAskControl = std::chrono::seconds(2);
 constexpr core::duration kAskWorker = std::chrono::milliseconds(500);
+/// Longest wait for the record of a call that is to be refused.
+constexpr core::duration kConfirm = std::chrono::milliseconds(500);
 constexpr core::duration kLongestPoll = std::chrono::seconds(1);
 /// The record is read again after each so many questions to the worker, as
 /// another process may have recorded the outcome.
@@ -33,10 +35,6 @@
   return hex;
 }
 
-cell::call_key KeyOf(const call& c) {
-  return {c.department, c.service, c.idempotency_key};
-}
-
 call_end Unknown(const cell::call_key& key) {
   return {ending::kOutcomeUnknown, end_reason::kConnection, "", std::nullopt,
           key};
@@ -126,6 +124,10 @@
 
 }  // namespace
 
+cell::call_key KeyOf(const call& c) {
+  return {c.department, c.service, c.idempotency_key};
+}
+
 std::shared_ptr<dispatcher::impl::flight> dispatcher::impl::TakeOff(
     const cell::call_key& key, std::string operation, std::string digest) {
   auto f = std::make_shared<flight>(executor, clock);
@@ -412,6 +414,24 @@
   co_return core::failure(core::unavailable{"unexpected answer"});
 }
 
+core::awaitable<call_end> dispatcher::impl::ConfirmNotRun(self_ptr self,
+                                                          cell::call_key key,
+                                                          call_end end) {
+  const bool callers_error = end.why == end_reason::kKeyMissing ||
+                             end.why == end_reason::kKeyReused ||
+                             end.why == end_reason::kUnknownService ||
+                             end.why == end_reason::kUnknownOperation;
+  if (end.e != ending::kNotRun || callers_error) co_return end;
+  if (self->cut_off) co_return Unknown(key);
+  const auto record =
+      co_await ReadRecord(self, key, self->clock.Now() + kConfirm);
+  if (!record) co_return Unknown(key);
+  const bool was_run = *record && !((*record)->outcome &&
+                                    (*record)->outcome->e == ending::kNotRun);
+  if (!was_run) co_return end;
+  co_return (*record)->outcome ? EndOf(*(*record)->outcome, key) : Unknown(key);
+}
+
 core::awaitable<void> dispatcher::impl::FlyResolve(self_ptr self,
                                                    std::shared_ptr<flight> f,
                                                    cell::call_record record) {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -16,7 +16,6 @@
 #include "mangoplank/control/leader_client.h"
 #include "mangoplank/membership/entry_announcer.h"
 #include "objective_meter.h"
-#include "slot_reporter.h"
 
 namespace mangoplank::entry {
 
@@ -75,14 +74,15 @@
         clock_(io_.get_executor()),
         hello_(HelloOf(v, static_cast<core::incarnation>(clock_.WallNow()))),
         context_{io_.get_executor(), clock_, registry_, {}},
-        client_(
-            ClientSettings(v, hello_), context_, std::random_device()(),
-            {.replies =
-                 [this](control::reply_batch b) {
-                   announcer_.Replied(std::move(b));
-                 },
-             .grants =
-                 [this](control::slot_grants g) { Granted(std::move(g)); }}),
+        client_(ClientSettings(v, hello_), context_, std::random_device()(),
+                {.replies =
+                     [this](control::reply_batch b) {
+                       announcer_.Replied(std::move(b));
+                     },
+                 .grants =
+                     [this](const control::slot_grants& g) {
+                       dispatcher_.Grant(g);
+                     }}),
         announcer_(
             io_.get_executor(), clock_,
             [this](control::announcement_batch b) {
@@ -167,16 +167,11 @@
         v_.Milliseconds("serve", "slot_interval");
     while (true) {
       // Without a leader there is nobody to report to; the grants run out.
-      client_.Send(slots_.Next(dispatcher_.Report(), clock_.Now()));
+      client_.Send(dispatcher_.Report());
       co_await dispatcher_.NeedsReport().WaitUntil(clock_.Now() + interval);
     }
   }
 
-  void Granted(control::slot_grants g) {
-    const auto current = slots_.Received(std::move(g), clock_.Now());
-    if (current) dispatcher_.Grant(*current);
-  }
-
   awaitable<void> AwaitSignal() {
     co_await signals_.async_wait(asio::use_awaitable);
     spdlog::info("draining");
@@ -199,7 +194,6 @@
   wire::connection_context context_;
   control::leader_client client_;
   distribution::view view_;
-  slot_reporter slots_;
   membership::entry_announcer announcer_;
   calls::http_transport transport_;
   calls::dispatcher dispatcher_;
