--- a/include/mangoplank/consensus/node.h
+++ b/include/mangoplank/consensus/node.h
@@ -26,7 +26,7 @@
   std::uint64_t max_inflight_batches = 16;
   std::uint64_t snapshot_chunk_bytes = 256 * 1024;
   /// Log bytes after which a snapshot is taken and the log cut.
-  std::uint64_t snapshot_after_bytes = 16 * 1024 * 1024;
+  std::uint64_t snapshot_after_bytes = 8 * 1024 * 1024;
   /// Bounds the memory of proposals that wait for a commit.
   std::uint64_t max_pending_bytes = 8 * 1024 * 1024;
 };
--- a/include/mangoplank/control/leader.h
+++ b/include/mangoplank/control/leader.h
@@ -27,8 +27,9 @@
   /// Ended jobs, call records and request ids are kept this long.
   core::milliseconds retention{3'600'000};
   /// Most ended tasks that are kept; older ones go before their time. Bounds
-  /// the memory of the state: 180 starts/s for an hour would leave 648,000.
-  std::size_t max_ended_tasks = 20'000;
+  /// the memory of the state: 180 starts/s for an hour would leave 648,000, at
+  /// 713 bytes each (docs/CAPACITY.md).
+  std::size_t max_ended_tasks = 5'000;
   std::uint64_t seed = 1;
 };
 
--- a/src/apps/bench_capacity.cpp
+++ b/src/apps/bench_capacity.cpp
@@ -1,9 +1,11 @@
 #include <fmt/format.h>
 #include <malloc.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cmath>
 #include <ctime>
+#include <fstream>
 #include <functional>
 
 #include "bench.h"
@@ -71,6 +73,14 @@
 
 double HeapBytes() { return static_cast<double>(mallinfo2().uordblks); }
 
+/// Memory of a process that has loaded the program and holds no state.
+double ResidentBytes() {
+  std::ifstream in("/proc/self/statm");
+  double total = 0, resident = 0;
+  in >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
 double CpuSeconds() {
   timespec t{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
@@ -347,6 +357,7 @@
 }  // namespace
 
 int RunCapacityBench() {
+  Print("process.memory", ResidentBytes(), "bytes");
   MeasureState();
   MeasureScheduler();
   MeasureMessages();
