Check in the soak run that accepted changes stand

Cause: the race of operators showed that one change of a version is made, but not that it is still there after the faults; the drains did not show how many calls were in flight.

Change: the final value of the raced configuration is compared with the last accepted change; the checker prints the calls answered after a SIGTERM; SOAK_KINDS limits the kinds of faults.

--- a/scripts/check_journals.py
+++ b/scripts/check_journals.py
@@ -266,6 +266,17 @@
                 yield [drain, sent, line]
 
 
+def answered_in_drains(journals):
+    """Calls in flight at a SIGTERM that had an answer of that entry."""
+    asked = {key: lines[0] for key, lines in journals.by_request("asked").items()}
+    drains = [f for f in journals.faults if f["what"] == "drained"]
+    return sum(
+        1 for line in journals.heard() for drain in drains
+        if line["entry_port"] == drain["port"] and line["outcome"] != "no_answer"
+        and drain["term_us"] <= line["at_us"] <= drain["at_us"]
+        and asked[(line["_file"], line["id"])]["at_us"] < drain["term_us"])
+
+
 def racing_operators(journals):
     """Of changes with one version at most one is made, and a resend under
     the same id has the first answer."""
@@ -283,6 +294,22 @@
             yield list(lines.values())
 
 
+def changes_lost(journals):
+    """After the run the last accepted change stands, or a later one whose
+    operator did not learn the end."""
+    changes = [f for f in journals.faults if f["what"] == "operator"]
+    accepted = [f for f in changes if f["status"] == 200]
+    if not accepted:
+        return
+    last = max(accepted, key=lambda f: int(f["version"]))
+    allowed = {last["id"]} | {
+        f["id"] for f in changes
+        if f["status"] not in (200, 412) and int(f["version"]) > int(last["version"])}
+    for line in journals.faults:
+        if line["what"] == "final" and line["by"] not in allowed:
+            yield [last, line]
+
+
 def not_recovered(journals):
     for line in journals.faults:
         if line["what"] == "recovered" and not line["ok"]:
@@ -300,6 +327,7 @@
     "worker over its limits": limits_exceeded,
     "cut off by graceful shutdown": cut_off_by_shutdown,
     "two changes of one version": racing_operators,
+    "accepted change lost": changes_lost,
     "no recovery after the faults": not_recovered,
 }
 
@@ -327,6 +355,7 @@
     short = [length for first, second, length in overlaps(journals)
              if first.by_lease and first.end - second.start <= LEASE_CHECK_US]
     print(f"overlaps within the lease check of the stand-in: {len(short)}")
+    print(f"calls answered by an entry after its SIGTERM: {answered_in_drains(journals)}")
 
 
 def print_ends(journals):
--- a/scripts/check_journals_test.sh
+++ b/scripts/check_journals_test.sh
@@ -124,6 +124,16 @@
 fault operator '"object":"o","id":"a","version":"1","status":412'
 expect "two changes of one version"
 clean
+fault operator '"object":"o","id":"a","version":"1","status":200'
+fault operator '"object":"o","id":"b","version":"2","status":504'
+fault final '"object":"o","by":"b"'
+expect ""
+clean
+fault operator '"object":"o","id":"a","version":"1","status":200'
+fault operator '"object":"o","id":"b","version":"2","status":200'
+fault final '"object":"o","by":"a"'
+expect "accepted change lost"
+clean
 fault recovered '"ok":false'
 expect "no recovery after the faults"
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,9 +5,10 @@
 # 3 entry processes, 36 stand-in workers in 8 processes, 4 stand-in callers.
 # Prints each fault as it happens, then the verdict of check_journals.py, whose
 # exit code it returns. Ends all that it started. Set BIN for other binaries,
-# BASE_PORT for other ports, SOAK_KEEP=1 to keep the journals of a clean run.
+# BASE_PORT for other ports, SOAK_KEEP=1 to keep the journals of a clean run,
+# SOAK_KINDS="kill_entry race" for some kinds of faults only.
 set -euo pipefail
-[ $# = 2 ] || { sed -n 2,9p "$0"; exit 2; }
+[ $# = 2 ] || { sed -n 2,10p "$0"; exit 2; }
 cd "$(dirname "$0")/.."
 duration=$1
 seed=$2
@@ -149,11 +150,15 @@
   done
 }
 races=0
+# raced FIELD_PATTERN: prints what follows the colon.
+raced() {
+  curl -s -m 3 -H "Authorization: Bearer $ADMIN_TOKEN" \
+    "http://127.0.0.1:$(http_port 1)/v1/configurations/raced" | grep -o "$1" | cut -d: -f2 | tr -d '"' || true
+}
 fault_race() {
   local version pids=() name
   races=$((races + 1))
-  version=$(curl -s -m 3 -H "Authorization: Bearer $ADMIN_TOKEN" \
-    "http://127.0.0.1:$(http_port 1)/v1/configurations/raced" | grep -o '"version":[0-9]*' | cut -d: -f2 || true)
+  version=$(raced '"version":[0-9]*')
   fault race "6 operators change version ${version:-unknown}"
   [ -n "$version" ] || return 0
   for name in a b c d e f; do operator "$races" "$name" "$version" & pids+=($!); done
@@ -204,6 +209,7 @@
 
 kinds=(kill_leader kill_control kill_entry pause_leader pause_entry restart_controls
   kill_workers race cancel_wave drain_entry away)
+[ -z "${SOAK_KINDS:-}" ] || read -ra kinds <<<"$SOAK_KINDS"
 # Each kind once in an order of the seed, then again, so that all occur.
 shuffle() {
   local i j t
@@ -242,6 +248,7 @@
   local i ok=true
   for i in 1 2 3; do wait_for 30 serves "$i" || ok=false; done
   note recovered "\"ok\":$ok"
+  note final "\"object\":\"raced\",\"by\":\"$(raced '"by":"[^"]*"')\""
 }
 
 # wait_caller NAME: until it ends, at most 30 s.
