--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -7,7 +7,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BIN=${BUILD_DIR:-build}
-BASE_PORT=${BASE_PORT:-40000}
+# Below the range from which the system takes ports for outgoing connections;
+# one of those in use keeps a process from listening.
+BASE_PORT=${BASE_PORT:-24000}
 CELL_DIR=$(mktemp -d)
 . scripts/cell_lib.sh
 trap 'stop_cell; rm -rf "$CELL_DIR"' EXIT
