--- a/src/wire/connection_test.cpp
+++ b/src/wire/connection_test.cpp
@@ -1,5 +1,8 @@
 #include "mangoplank/wire/connection.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "wire/loop_test_support.h"
 
 namespace mangoplank::wire {
