Pause all control processes in the soak run

Cause: a trial by hand showed that an entry that is cut off refuses the resend of a booking that ran, and no fault of the soak run reached the freshness limit of 6 s.

Change: the kind pause_controls stops all control processes for 8 s.

Conclusion: resource_interface::impl::Refusal answers 503 not_run for a cut-off entry before the record of the key is read.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -124,6 +124,14 @@
 }
 fault_pause_leader() { find_leader; pick 3; pause leader "control-$LEADER" "$((PICK + 1))"; }
 fault_pause_entry() { pick 3; local e=$PICK; pick 4; pause entry "entry-$e" "$PICK"; }
+# Longer than the freshness limit of 6 s, after which entries refuse requests.
+fault_pause_controls() {
+  local i
+  fault pause_controls "all three for 8 s"
+  for i in 1 2 3; do kill -s STOP "${PIDS[control-$i]}"; done
+  nap 8
+  for i in 1 2 3; do kill -s CONT "${PIDS[control-$i]}"; done
+}
 fault_restart_controls() {
   local i
   fault restart_controls "all three"
@@ -208,9 +216,9 @@
 }
 
 kinds=(kill_leader kill_control kill_entry pause_leader pause_entry restart_controls
-  kill_workers race cancel_wave drain_entry away)
+  kill_workers race cancel_wave drain_entry away pause_controls)
 [ -z "${SOAK_KINDS:-}" ] || read -ra kinds <<<"$SOAK_KINDS"
-# Each kind once in an order of the seed, then again, so that all occur.
+# Each kind once in an order of the seed, then again; 60 s are enough for all.
 shuffle() {
   local i j t
   for ((i = ${#kinds[@]} - 1; i > 0; i--)); do
