Cut-off entries don't say not_run of a keyed call; learners vote again

Change: a refusal outside the dispatcher of a well-formed request with a key is outcome_unknown; the leader promotes learners that have caught up.

--- a/src/api/resource_interface.cpp
+++ b/src/api/resource_interface.cpp
@@ -195,9 +195,13 @@
                                           const core::failure& f) const {
   const problem p = ProblemOf(f);
   if (!IsCallPath(r.target)) return Render(p);
-  // A question that could not be answered says nothing of the call.
-  return Render(p, r.method == "POST" ? cell::ending::kNotRun
-                                      : cell::ending::kOutcomeUnknown);
+  // A question that could not be answered says nothing of the call, and a
+  // well-formed request with a key may be a resend of one that ran.
+  const bool can_be_resend = !r.Header("idempotency-key").empty() &&
+                             !std::holds_alternative<core::invalid_request>(f);
+  const bool is_not_run = r.method == "POST" && !can_be_resend;
+  return Render(
+      p, is_not_run ? cell::ending::kNotRun : cell::ending::kOutcomeUnknown);
 }
 
 void resource_interface::impl::LogRefusal(const request& r,
--- a/src/api/serving_test.cpp
+++ b/src/api/serving_test.cpp
@@ -94,6 +94,9 @@
   EXPECT_EQ(outcome(c.Send("POST", path, kKitchens,
                            std::string(cell::kMaxPayloadBytes + 1, 'x'))),
             "413not_run");
+  // A refused resend says nothing of the first request of its key.
+  EXPECT_EQ(outcome(c.Send("POST", path, "", "", {{"Idempotency-Key", "k"}})),
+            "401outcome_unknown");
   cell.OnCell([&] { EXPECT_TRUE(cell.runner.seen.empty()); });
   EXPECT_EQ(outcome(c.Send("POST", path, kKitchens,
                            std::string(cell::kMaxPayloadBytes, 'x'))),
--- a/src/cell/state_test.cpp
+++ b/src/cell/state_test.cpp
@@ -189,10 +189,14 @@
   EXPECT_EQ(Do(refusal).answer->call->outcome->e, ending::kNotRun);
   const auto late = Do(record_intent{kCallKey, "book", "d1", {"e2"}, 1});
   EXPECT_EQ(late.answer->call->outcome->e, ending::kNotRun);
-  Do(compact_records{now_ + 1});
+  const auto compact = [&] {
+    Do(compact_records{now_ - 3'600'000, now_ - 3'600'000});
+  };
+  now_ += 9 * 60'000;
+  compact();
   EXPECT_NE(s_.FindCall(kCallKey), nullptr);
-  now_ += 11 * 60'000;
-  Do(compact_records{now_});
+  now_ += 2 * 60'000;
+  compact();
   EXPECT_EQ(s_.FindCall(kCallKey), nullptr);
 }
 
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr core::milliseconds kTick{200};
+constexpr core::milliseconds kPromotionInterval{1'000};
 constexpr core::milliseconds kCompactionInterval{30'000};
 /// An entry that was not heard of for this long is not listed any more.
 constexpr core::milliseconds kEntryForgottenAfter{60'000};
@@ -84,6 +85,7 @@
   awaitable<void> Evict(const placement::round& round);
   awaitable<void> LeaseLoop();
   awaitable<void> CompactionLoop();
+  awaitable<void> PromotionLoop();
   cell::compact_records Compaction() const;
   awaitable<void> ReplyLoop();
 
@@ -317,6 +319,24 @@
   return c;
 }
 
+/// A member that came back with another disk is a learner. It votes again once
+/// it has caught up, so that the loss of a second VM leaves a majority.
+awaitable<void> leader::impl::PromotionLoop() {
+  const auto self = shared_from_this();
+  while (!stopped) {
+    co_await core::SleepFor(clock, kPromotionInterval);
+    if (stopped || !Leads()) continue;
+    const consensus::membership known = node.Status().members;
+    for (consensus::member m : known.members) {
+      if (m.voter) continue;
+      m.voter = true;
+      const auto changed = co_await node.ChangeMember(m, false);
+      spdlog::info("member {}: {}", m.id.v,
+                   changed ? "votes" : core::Describe(changed.error()));
+    }
+  }
+}
+
 awaitable<void> leader::impl::CompactionLoop() {
   const auto self = shared_from_this();
   while (!stopped) {
@@ -570,6 +590,7 @@
   spawn(impl_->PlacementLoop());
   spawn(impl_->LeaseLoop());
   spawn(impl_->CompactionLoop());
+  spawn(impl_->PromotionLoop());
   spawn(impl_->ReplyLoop());
 }
 
