Tasks may outlive the clock that they wait on

Reading shows one way to it: tasks that still wait when a test or process ends are destroyed with the io_context, after the clock, and the destructor of event cancelled its timer on that clock.

--- a/include/mangoplank/core/clock.h
+++ b/include/mangoplank/core/clock.h
@@ -30,6 +30,13 @@
   virtual timer_id CallAt(time_point at, std::function<void()> f) = 0;
   /// Forgets a timer; does nothing if it has fired.
   virtual void Cancel(timer_id id) = 0;
+
+  /// @return expires with the clock. Tasks that still wait when a process or
+  /// test ends are destroyed with their io_context, after the clock.
+  std::weak_ptr<const void> Alive() const { return alive_; }
+
+ private:
+  std::shared_ptr<const void> alive_ = std::make_shared<char>();
 };
 
 /// The clock of the operating system.
@@ -90,6 +97,7 @@
   struct waiter;
   boost::asio::any_io_executor executor_;
   clock& clock_;
+  std::weak_ptr<const void> clock_alive_;
   std::vector<std::shared_ptr<waiter>> waiters_;
 };
 
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -214,7 +214,10 @@
 }  // namespace
 
 process::exit_code RunControl(const settings::values& v) {
-  return control_parts(v).Run();
+  // Never destroyed: tasks that still wait at the end refer to parts that would
+  // go before the io_context that owns the tasks.
+  static auto& parts = *new control_parts(v);
+  return parts.Run();
 }
 
 }  // namespace mangoplank::control
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -96,7 +96,9 @@
 };
 
 event::event(asio::any_io_executor executor, clock& clock)
-    : executor_(std::move(executor)), clock_(clock) {}
+    : executor_(std::move(executor)),
+      clock_(clock),
+      clock_alive_(clock.Alive()) {}
 
 event::~event() { NotifyAll(); }
 
@@ -132,7 +134,7 @@
 void event::NotifyAll() {
   const auto woken = std::exchange(waiters_, {});
   for (const auto& w : woken) {
-    if (w->timer != 0) clock_.Cancel(w->timer);
+    if (w->timer != 0 && !clock_alive_.expired()) clock_.Cancel(w->timer);
     Complete(executor_, std::move(w->handler), true);
   }
 }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -206,7 +206,10 @@
 }  // namespace
 
 process::exit_code RunEntry(const settings::values& v) {
-  return entry_process(v).Run();
+  // Never destroyed: tasks that still wait at the end refer to parts that would
+  // go before the io_context that owns the tasks.
+  static auto& parts = *new entry_process(v);
+  return parts.Run();
 }
 
 }  // namespace mangoplank::entry
