--- a/include/mangoplank/core/failure.h
+++ b/include/mangoplank/core/failure.h
@@ -40,7 +40,7 @@
   friend bool operator==(const version_conflict&,
                          const version_conflict&) = default;
 };
-/// A create met an object of the same name, or a resend carried another body.
+/// A create met an object of the same name.
 struct already_exists {
   std::string name;
   friend bool operator==(const already_exists&,
--- a/include/mangoplank/wire/peers.h
+++ b/include/mangoplank/wire/peers.h
@@ -26,9 +26,6 @@
   core::awaitable<core::outcome<std::shared_ptr<consensus::peer_link>>> Connect(
       const consensus::member& to) override;
 
-  /// Sets the identity of the data folder once it is known.
-  void SetDisk(std::uint64_t disk) { self_.disk = disk; }
-
  private:
   connection_context context_;
   peer_hello self_;
@@ -49,7 +46,6 @@
   core::outcome<void> Start(const core::endpoint& at);
   void Stop();
   std::uint16_t Port() const;
-  void SetDisk(std::uint64_t disk) { self_->disk = disk; }
 
  private:
   std::shared_ptr<peer_hello> self_;
