--- a/include/mangoplank/consensus/node.h
+++ b/include/mangoplank/consensus/node.h
@@ -43,6 +43,14 @@
   friend bool operator==(const node_status&, const node_status&) = default;
 };
 
+/// How a read makes sure that no other member leads.
+enum class read_check : std::uint8_t {
+  /// By the lease, which relies on a steady clock that never stands still.
+  kLease,
+  /// By a round of heartbeats that begins after the call.
+  kRound
+};
+
 /// One member of the replicated log.
 class node {
  public:
@@ -66,7 +74,8 @@
   core::awaitable<core::outcome<core::revision>> Propose(std::string command);
   /// Waits until all that was committed when it was called is applied here.
   /// @return not_leader or unavailable if that can't be known.
-  core::awaitable<core::outcome<core::revision>> ReadBarrier();
+  core::awaitable<core::outcome<core::revision>> ReadBarrier(
+      read_check check);
   /// Whether this process is surely the only leader now.
   bool HoldsLease() const;
   node_status Status() const;
@@ -78,6 +87,11 @@
   /// unavailable if another change is in progress or no voter would be left.
   core::awaitable<core::outcome<core::revision>> ChangeMember(member m,
                                                               bool remove);
+  /// @return whether a member has all that is committed, as this leader knows.
+  bool IsCaughtUp(const core::member_id& id) const;
+  /// @return the member that this leader has heard nothing of for the longest
+  /// time, if that is longer than `limit`.
+  std::optional<member> SilentMember(core::milliseconds limit) const;
   /// Makes another voter the leader. Until it leads, proposals are refused.
   /// @return not_leader, not_found if `to` is no voter that can be reached, or
   /// deadline_exceeded.
--- a/include/mangoplank/wire/codec.h
+++ b/include/mangoplank/wire/codec.h
@@ -8,6 +8,8 @@
 #include "mangoplank/consensus/messages.h"
 #include "mangoplank/control/messages.h"
 #include "mangoplank/core/failure.h"
+#include "mangoplank/workflow/messages.h"
+#include "mangoplank/workflow/state.h"
 
 /// Encoding of values as Cap'n Proto messages. A decoder accepts any bytes: it
 /// returns the given failure for those that are not a message of its type, and
@@ -37,6 +39,9 @@
 std::string Encode(const consensus::membership& v);
 std::string Encode(const control::message& v);
 std::string Encode(const peer_hello& v);
+std::string Encode(const std::vector<workflow::event>& v);
+std::string Encode(const workflow::state::image& v);
+std::string Encode(const workflow::message& v);
 
 /// @return the failure of a message from a peer that can't be decoded.
 inline core::failure Malformed(std::string peer = {}) {
@@ -62,6 +67,16 @@
 core::result<control::message> DecodeControlMessage(
     std::string_view bytes, const core::failure& malformed = Malformed());
 
+/// @param malformed as for DecodeCommand.
+core::result<std::vector<workflow::event>> DecodeWorkflowEvents(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+/// @param malformed as for DecodeCommand.
+core::result<workflow::state::image> DecodeWorkflowImage(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+/// @param malformed as for DecodeCommand.
+core::result<workflow::message> DecodeWorkflowMessage(
+    std::string_view bytes, const core::failure& malformed = Malformed());
+
 /// @param malformed as for DecodeCommand.
 core::result<peer_hello> DecodePeerHello(
     std::string_view bytes, const core::failure& malformed = Malformed());
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -128,7 +128,11 @@
   leading l;
   l.start_at = log.LastAt() + 1;
   l.answered_from = clock.Now();
-  for (const auto& [id, p] : peers) ResetProgress(*p);
+  for (const auto& [id, p] : peers) {
+    ResetProgress(*p);
+    // Silence counts from the time that this member began to ask.
+    p->heard = clock.Now();
+  }
   current_role = std::move(l);
   AppendEntry(std::make_shared<const log_entry>(
       log_entry{log.LastAt() + 1, hard.t, entry_kind::kLeaderStart, {}}));
--- a/src/consensus/members.cpp
+++ b/src/consensus/members.cpp
@@ -199,6 +199,24 @@
   co_return core::failure(core::not_leader{Leader()});
 }
 
+bool node::impl::IsCaughtUp(const core::member_id& id) const {
+  const auto it = peers.find(id);
+  const member* m = Find(id);
+  return Leads() && it != peers.end() && m != nullptr && m->disk != 0 &&
+         m->disk == it->second->disk && it->second->match >= committed;
+}
+
+std::optional<member> node::impl::SilentMember(core::milliseconds limit) const {
+  if (!Leads()) return std::nullopt;
+  const peer* found = nullptr;
+  for (const auto& [id, p] : peers) {
+    if (clock.Now() <= p->heard + limit) continue;
+    if (found == nullptr || p->heard < found->heard) found = p.get();
+  }
+  if (found == nullptr) return std::nullopt;
+  return found->who;
+}
+
 core::awaitable<core::outcome<core::revision>> node::impl::ChangeMember(
     member m, bool remove) {
   if (!Leads()) co_return core::failure(core::not_leader{Leader()});
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -42,9 +42,10 @@
   co_return co_await self->Propose(entry_kind::kCommand, std::move(command));
 }
 
-core::awaitable<core::outcome<core::revision>> node::ReadBarrier() {
+core::awaitable<core::outcome<core::revision>> node::ReadBarrier(
+    read_check check) {
   const auto self = impl_;
-  co_return co_await self->ReadBarrier();
+  co_return co_await self->ReadBarrier(check);
 }
 
 bool node::HoldsLease() const { return impl_->HoldsLease(); }
@@ -57,6 +58,14 @@
   co_return co_await self->ChangeMember(std::move(m), remove);
 }
 
+bool node::IsCaughtUp(const core::member_id& id) const {
+  return impl_->IsCaughtUp(id);
+}
+
+std::optional<member> node::SilentMember(core::milliseconds limit) const {
+  return impl_->SilentMember(limit);
+}
+
 core::awaitable<core::outcome<void>> node::TransferLeadership(
     core::member_id to) {
   const auto self = impl_;
@@ -233,7 +242,8 @@
   co_return *p->result;
 }
 
-core::awaitable<core::outcome<core::revision>> node::impl::ReadBarrier() {
+core::awaitable<core::outcome<core::revision>> node::impl::ReadBarrier(
+    read_check check) {
   const core::time_point deadline = clock.Now() + settings.election_timeout;
   const core::term t = hard.t;
   std::optional<std::uint64_t> round;
@@ -247,7 +257,8 @@
     // known here. Without a lease, a round begun after the call shows that
     // nobody else has led since.
     if (l->announced && !index) index = committed;
-    if (index && HoldsLease()) co_return *index;
+    const bool leased = check == read_check::kLease && HoldsLease();
+    if (index && leased) co_return *index;
     if (index && !round) {
       BeginRound(*l);
       round = l->round;
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -58,7 +58,7 @@
 struct peer {
   peer(member m, const boost::asio::any_io_executor& executor,
        core::clock& clock)
-      : who(std::move(m)), wake(executor, clock) {}
+      : who(std::move(m)), wake(executor, clock), heard(clock.Now()) {}
 
   member who;
   bool removed = false;
@@ -69,6 +69,8 @@
   std::uint64_t asked_campaign = 0;
   /// Identity that the member's last reply carried.
   std::uint64_t disk = 0;
+  /// Time of the member's last reply, or of the start of following it.
+  core::time_point heard;
 
   // What follows is reset when this process becomes leader.
   core::revision next = 1;
@@ -138,7 +140,8 @@
   core::awaitable<void> Stop();
   core::awaitable<core::outcome<core::revision>> Propose(entry_kind k,
                                                          std::string data);
-  core::awaitable<core::outcome<core::revision>> ReadBarrier();
+  core::awaitable<core::outcome<core::revision>> ReadBarrier(
+      read_check check);
   core::awaitable<core::failure> Stopped();
   node_status Status() const;
   core::awaitable<core::outcome<recovered>> OpenFolder();
@@ -223,6 +226,8 @@
   core::awaitable<core::outcome<core::revision>> ProposeMembers(
       std::vector<member> members);
   core::awaitable<core::outcome<void>> WaitCaughtUp(core::member_id id);
+  bool IsCaughtUp(const core::member_id& id) const;
+  std::optional<member> SilentMember(core::milliseconds limit) const;
   core::awaitable<core::outcome<void>> Transfer(core::member_id to);
   void MaintainDisks();
   void AppendMembers(const std::vector<member>& members);
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -23,7 +23,7 @@
   c.AwaitLeader();
   const auto at = c.Await(c.At(0).Propose("a"));
   ASSERT_TRUE(at) << core::Describe(at.error());
-  const auto read = c.Await(c.At(0).ReadBarrier());
+  const auto read = c.Await(c.At(0).ReadBarrier(read_check::kLease));
   ASSERT_TRUE(read);
   EXPECT_GE(*read, *at);
   EXPECT_EQ(c.members[0]->machine->applied.back().second, "a");
@@ -76,7 +76,7 @@
   for (std::size_t i = 0; i < 3; ++i) c.Crash(i);
   StartAll(c);
   const std::size_t leader = c.AwaitLeader();
-  ASSERT_TRUE(c.Await(c.At(leader).ReadBarrier()));
+  ASSERT_TRUE(c.Await(c.At(leader).ReadBarrier(read_check::kLease)));
   ASSERT_EQ(c.members[leader]->machine->applied.size(), 1u);
   EXPECT_EQ(c.members[leader]->machine->applied[0].second, "kept");
 }
@@ -122,7 +122,7 @@
   ASSERT_TRUE(c.RunUntil([&] { return open->has_value(); }, seconds(2)));
   EXPECT_EQ((*open)->error(), core::failure(core::commit_unknown{}));
   EXPECT_FALSE(c.At(old).HoldsLease());
-  EXPECT_FALSE(c.Await(c.At(old).ReadBarrier()));
+  EXPECT_FALSE(c.Await(c.At(old).ReadBarrier(read_check::kLease)));
   const std::size_t next = c.AwaitLeader();
   ASSERT_NE(next, old);
   ASSERT_TRUE(c.Await(c.At(next).Propose("next")));
--- a/src/consensus/peer.cpp
+++ b/src/consensus/peer.cpp
@@ -235,6 +235,7 @@
 }
 
 void node::impl::OnReply(peer& p, const message& m) {
+  p.heard = clock.Now();
   std::visit(
       core::overloaded{[&](const vote_reply& r) { OnVoteReply(p, r); },
                        [&](const append_reply& r) { OnAppendReply(p, r); },
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -158,7 +158,7 @@
       const core::revision newest =
           acknowledged_.empty() ? 0 : acknowledged_.rbegin()->first;
       const auto machine = c_.members[i]->machine;
-      const auto read = co_await c_.At(i).ReadBarrier();
+      const auto read = co_await c_.At(i).ReadBarrier(read_check::kLease);
       if (!read) continue;
       ++reads_;
       EXPECT_GE(*read, newest) << "a read missed an acknowledged write";
--- a/src/control/leader_answers.cpp
+++ b/src/control/leader_answers.cpp
@@ -41,7 +41,7 @@
 
 awaitable<outcome<answer>> leader::impl::Handle(propose_request r) {
   if (r.dry_run) {
-    const auto at = co_await node.ReadBarrier();
+    const auto at = co_await node.ReadBarrier(consensus::read_check::kLease);
     if (!at) co_return at.error();
     r.c.at = clock.WallNow();
     cell::effect e = replicated.State().DryRun(r.c);
@@ -54,13 +54,13 @@
 }
 
 awaitable<outcome<answer>> leader::impl::Handle(list_request r) {
-  const auto at = co_await node.ReadBarrier();
+  const auto at = co_await node.ReadBarrier(consensus::read_check::kLease);
   if (!at) co_return at.error();
   co_return answer(List(replicated.State(), r));
 }
 
 awaitable<outcome<answer>> leader::impl::Handle(explain_request r) {
-  const auto at = co_await node.ReadBarrier();
+  const auto at = co_await node.ReadBarrier(consensus::read_check::kLease);
   if (!at) co_return at.error();
   const cell::state& s = replicated.State();
   const cell::object* const o = s.Find(r.key);
@@ -78,7 +78,7 @@
 }
 
 awaitable<outcome<answer>> leader::impl::Handle(call_request r) {
-  const auto at = co_await node.ReadBarrier();
+  const auto at = co_await node.ReadBarrier(consensus::read_check::kLease);
   if (!at) co_return at.error();
   call_answer a;
   if (const auto* const c = replicated.State().FindCall(r.key)) a.call = *c;
@@ -86,7 +86,7 @@
 }
 
 awaitable<outcome<answer>> leader::impl::Handle(status_request) {
-  const auto at = co_await node.ReadBarrier();
+  const auto at = co_await node.ReadBarrier(consensus::read_check::kLease);
   if (!at) co_return at.error();
   if (!Leads()) co_return failure(core::not_leader{});
   const core::time_point now = clock.Now();
--- /dev/null
+++ b/src/dispatch/dispatcher.cpp
@@ -0,0 +1,260 @@
+#include "mangoplank/dispatch/dispatcher.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "dispatch/dispatcher_impl.h"
+
+namespace mangoplank::dispatch {
+
+namespace asio = boost::asio;
+using core::awaitable;
+using core::overloaded;
+
+namespace {
+
+constexpr core::milliseconds kForgetInterval{5'000};
+
+core::resources NeedOf(const workflow::step& s) {
+  core::resources need = s.need;
+  if (s.filler) need.cpu_milli = 0;
+  return need;
+}
+
+}  // namespace
+
+dispatcher::impl::impl(dispatcher_settings s, core::term t,
+                       asio::any_io_executor e, core::clock& c, journal& l,
+                       worker_port& w, eligibility_port& p)
+    : settings(s),
+      term(t),
+      executor(std::move(e)),
+      clock(c),
+      log(l),
+      workers(w),
+      eligibility(p),
+      began(c.Now()),
+      work(executor, c) {}
+
+void dispatcher::impl::Spawn(awaitable<void> task) {
+  asio::co_spawn(executor, std::move(task), asio::detached);
+}
+
+void dispatcher::impl::Start() {
+  for (const auto& [id, j] : log.State().Jobs()) TrackJob(j);
+  SyncWorkers();
+  AdoptRuns();
+  Spawn(PlanLoop());
+  Spawn(ForgetLoop());
+}
+
+void dispatcher::impl::Stop() {
+  stopped = true;
+  for (const auto& [id, a] : agents) {
+    a->gone = true;
+    a->wake.NotifyAll();
+  }
+  work.NotifyAll();
+}
+
+/// Follows a job that this term has not seen yet.
+void dispatcher::impl::TrackJob(const workflow::job& j) {
+  const workflow::queue& q = log.State().QueueOf(j);
+  if (!IsFinal(j.phase)) {
+    active.insert({q.priority, j.accepted_at, j.spec.id});
+  } else {
+    ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
+  }
+}
+
+/// Follows the runs that earlier leaders have recorded.
+void dispatcher::impl::AdoptRuns() {
+  for (const auto& [name, j] : log.State().Jobs()) {
+    workflow::task_id id{name, 0, 0, 0};
+    for (std::size_t at = 0; at < j.tasks.size(); ++at) {
+      const workflow::task& t = j.tasks[at];
+      const workflow::step& s = j.spec.steps[id.step];
+      if (t.phase == workflow::task_phase::kAssigned) {
+        const auto a = agents.find(t.where.id);
+        const workflow::run_id run{id, t.last_run};
+        if (a != agents.end()) {
+          a->second->runs[run] = {NeedOf(s), began, false, 0, {}};
+          places[run] = a->second;
+          if (IsFinal(j.phase)) Spawn(StopRun(a->second, run));
+        }
+      }
+      if (++id.index < s.count) continue;
+      id.index = 0;
+      if (++id.step < j.spec.steps.size()) continue;
+      id.step = 0;
+      ++id.occurrence;
+    }
+  }
+}
+
+/// Compares the agents with the registered workers.
+void dispatcher::impl::SyncWorkers() {
+  const auto& known = log.State().Workers();
+  std::vector<core::worker_id> ended;
+  for (const auto& [id, a] : agents) {
+    const auto it = known.find(id);
+    if (it != known.end() && it->second.key == a->about.key) {
+      a->about = it->second;
+      continue;
+    }
+    a->gone = true;
+    a->wake.NotifyAll();
+    for (const auto& [run, r] : a->runs) places.erase(run);
+    ended.push_back(id);
+  }
+  for (const core::worker_id& id : ended) {
+    const auto former = agents.extract(id).mapped();
+    const auto w = known.find(id);
+    if (w == known.end()) continue;
+    AddWorker(w->second);
+    for (const auto& [run, r] : former->runs) InheritRun(id, run, r);
+  }
+  for (const auto& [id, w] : known) {
+    if (!agents.contains(id)) AddWorker(w);
+  }
+  work.NotifyAll();
+}
+
+/// Ends a run of an earlier life of a worker. If its start was not confirmed,
+/// the order may still reach the new life, where it is stopped first.
+void dispatcher::impl::InheritRun(const core::worker_id& id,
+                                  const workflow::run_id& run,
+                                  const followed_run& r) {
+  if (!log.State().IsAssigned(run)) return;
+  if (r.settled_at) {
+    Spawn(EndRun(run, workflow::run_end::kLost));
+    return;
+  }
+  const auto& a = agents[id];
+  a->runs[run] = {r.need, std::nullopt, false, 0, {}};
+  places[run] = a;
+  Spawn(StopRun(a, run));
+}
+
+void dispatcher::impl::AddWorker(const workflow::worker& w) {
+  const auto a = std::make_shared<agent>(w, executor, clock);
+  // An earlier leader may have renewed the lease until this term began.
+  a->lease_end = std::max(clock.Now(), began) +
+                 std::chrono::duration_cast<core::duration>(
+                     settings.max_lease * (1 + settings.clock_drift));
+  a->heard = clock.Now();
+  agents[w.key.id] = a;
+  Spawn(Watch(a));
+}
+
+void dispatcher::impl::OnEvent(const workflow::event& e) {
+  const workflow::state& s = log.State();
+  const auto final_job = [&](const std::string& id) {
+    const workflow::job* const j = s.FindJob(id);
+    if (j != nullptr && IsFinal(j->phase)) OnJobFinal(*j);
+  };
+  std::visit(
+      overloaded{[&](const workflow::job_accepted& v) {
+                   const workflow::job* const j = s.FindJob(v.spec.id);
+                   if (j != nullptr && !IsFinal(j->phase)) TrackJob(*j);
+                 },
+                 [&](const workflow::job_cancelled& v) { final_job(v.job); },
+                 [&](const workflow::run_ended& v) {
+                   OnRunEnded(v);
+                   final_job(v.run.task.job);
+                 },
+                 [&](const workflow::worker_announced&) { SyncWorkers(); },
+                 [&](const workflow::worker_removed&) { SyncWorkers(); },
+                 [](const auto&) {}},
+      e);
+  work.NotifyAll();
+}
+
+void dispatcher::impl::OnRunEnded(const workflow::run_ended& e) {
+  // One end of a gang ends its other members' tasks too.
+  const workflow::job* const j = log.State().FindJob(e.run.task.job);
+  if (j == nullptr) return;
+  const workflow::step& s = j->spec.steps[e.run.task.step];
+  workflow::run_id run = e.run;
+  const std::uint32_t first = s.gang ? 0 : run.task.index;
+  const std::uint32_t last = s.gang ? s.count - 1 : run.task.index;
+  for (run.task.index = first; run.task.index <= last; ++run.task.index) {
+    const auto it = places.find(run);
+    if (it == places.end() || log.State().IsAssigned(run)) continue;
+    it->second->runs.erase(run);
+    places.erase(it);
+  }
+}
+
+void dispatcher::impl::OnJobFinal(const workflow::job& j) {
+  const workflow::queue& q = log.State().QueueOf(j);
+  // The queue's priority may have changed since the job was ranked.
+  if (active.erase({q.priority, j.accepted_at, j.spec.id}) == 0) {
+    const auto it =
+        std::find_if(active.begin(), active.end(),
+                     [&](const job_rank& r) { return r.id == j.spec.id; });
+    if (it == active.end()) return;
+    active.erase(it);
+  }
+  ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
+  const auto first = eligible.lower_bound({j.spec.id, 0, 0});
+  auto last = first;
+  while (last != eligible.end() && last->first.job == j.spec.id) ++last;
+  eligible.erase(first, last);
+  for (auto it = places.lower_bound({{j.spec.id, 0, 0, 0}, 0});
+       it != places.end() && it->first.task.job == j.spec.id; ++it) {
+    Spawn(StopRun(it->second, it->first));
+  }
+}
+
+void dispatcher::impl::OnHeard(const workflow::worker_key& key,
+                               std::int64_t clock_ms) {
+  const auto it = agents.find(key.id);
+  if (it == agents.end() || it->second->about.key != key) return;
+  ReadClock(*it->second, clock_ms);
+}
+
+awaitable<void> dispatcher::impl::ForgetLoop() {
+  const auto self = shared_from_this();
+  while (!stopped) {
+    co_await core::SleepFor(clock, kForgetInterval);
+    workflow::jobs_forgotten due;
+    const auto end = std::find_if(
+        ended_jobs.begin(), ended_jobs.end(),
+        [&](const auto& entry) { return entry.first > clock.Now(); });
+    for (auto it = ended_jobs.begin(); it != end; ++it) {
+      due.jobs.push_back(it->second);
+    }
+    ended_jobs.erase(ended_jobs.begin(), end);
+    if (stopped || due.jobs.empty()) continue;
+    std::vector<workflow::event> events;
+    events.emplace_back(std::move(due));
+    const auto recorded = co_await log.Record(std::move(events));
+    if (!recorded) {
+      spdlog::warn("jobs_not_forgotten error={}",
+                   core::Describe(recorded.error()));
+    }
+  }
+}
+
+dispatcher::dispatcher(dispatcher_settings settings, core::term term,
+                       asio::any_io_executor executor, core::clock& clock,
+                       journal& log, worker_port& workers,
+                       eligibility_port& eligibility)
+    : impl_(std::make_shared<impl>(settings, term, std::move(executor), clock,
+                                   log, workers, eligibility)) {}
+
+dispatcher::~dispatcher() { Stop(); }
+
+void dispatcher::Start() { impl_->Start(); }
+void dispatcher::Stop() { impl_->Stop(); }
+void dispatcher::OnEvent(const workflow::event& e) { impl_->OnEvent(e); }
+void dispatcher::OnHeard(const workflow::worker_key& key,
+                         std::int64_t clock_ms) {
+  impl_->OnHeard(key, clock_ms);
+}
+
+}  // namespace mangoplank::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher_impl.h
@@ -0,0 +1,172 @@
+#ifndef MANGOPLANK_SRC_DISPATCH_DISPATCHER_IMPL_H_
+#define MANGOPLANK_SRC_DISPATCH_DISPATCHER_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "mangoplank/dispatch/dispatcher.h"
+
+namespace mangoplank::dispatch {
+
+/// A run on its way to a worker or there.
+struct followed_run {
+  core::resources need;
+  /// The worker has confirmed the start, or it was recorded by an earlier
+  /// leader. From then on a look that does not list the run shows that it is
+  /// not there.
+  std::optional<core::time_point> settled_at;
+  bool stopping = false;
+  int percent = 0;
+  std::string checkpoint;
+};
+
+/// What the leader knows of one life of a worker.
+struct agent {
+  agent(workflow::worker w, const boost::asio::any_io_executor& e,
+        core::clock& c)
+      : about(std::move(w)), wake(e, c) {}
+
+  workflow::worker about;
+  bool gone = false;
+  /// A look under our term was answered: orders of earlier leaders are refused
+  /// from then on, and all runs there are known.
+  bool synced = false;
+  std::uint64_t recorded_ends = 0;
+  std::uint64_t told_ends = 0;
+  /// The worker's clock when it was last read.
+  std::optional<std::int64_t> clock_ms;
+  core::time_point clock_at;
+  /// The lease has surely ended after this time.
+  core::time_point lease_end;
+  core::time_point heard;
+  /// No new tasks until then.
+  core::time_point avoid_until{};
+  std::map<workflow::run_id, followed_run> runs;
+  core::event wake;
+};
+
+/// One step of one occurrence of a job.
+struct step_key {
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+
+  friend auto operator<=>(const step_key&, const step_key&) = default;
+};
+
+struct ticket {
+  std::string text;
+  core::time_point expires;
+};
+
+/// What is known about who may run a step.
+struct eligibility_view {
+  bool asking = false;
+  core::time_point ask_after{};
+  std::set<core::worker_id> refused;
+  std::map<core::worker_id, ticket> tickets;
+};
+
+/// Place of a job among those that wait: priority, then order of acceptance.
+struct job_rank {
+  std::int32_t priority = 0;
+  core::wall_time_ms accepted_at = 0;
+  std::string id;
+
+  friend auto operator<=>(const job_rank&, const job_rank&) = default;
+};
+
+/// A run that a round has decided to start.
+struct planned_run {
+  std::shared_ptr<agent> where;
+  workflow::run_id run;
+  std::string ticket;
+};
+
+struct dispatcher::impl : std::enable_shared_from_this<dispatcher::impl> {
+  impl(dispatcher_settings s, core::term t, boost::asio::any_io_executor e,
+       core::clock& c, journal& l, worker_port& w, eligibility_port& p);
+
+  // dispatcher.cpp: start, end and changes of the state.
+  void Start();
+  void Stop();
+  void Spawn(core::awaitable<void> task);
+  void OnEvent(const workflow::event& e);
+  void OnHeard(const workflow::worker_key& key, std::int64_t clock_ms);
+  void SyncWorkers();
+  void AdoptRuns();
+  void InheritRun(const core::worker_id& id, const workflow::run_id& run,
+                  const followed_run& r);
+  void AddWorker(const workflow::worker& w);
+  void TrackJob(const workflow::job& j);
+  void OnRunEnded(const workflow::run_ended& e);
+  void OnJobFinal(const workflow::job& j);
+  core::awaitable<void> ForgetLoop();
+
+  // agent.cpp: orders to one worker and what it reports.
+  core::awaitable<void> Watch(std::shared_ptr<agent> a);
+  core::awaitable<bool> Look(std::shared_ptr<agent> a, core::milliseconds wait);
+  core::awaitable<bool> OnReport(std::shared_ptr<agent> a,
+                                 core::time_point sent, worker_report r);
+  std::vector<workflow::event> MissingRuns(const agent& a,
+                                           core::time_point sent,
+                                           const worker_report& r) const;
+  core::awaitable<void> StartRun(planned_run p);
+  core::awaitable<void> Settle(std::shared_ptr<agent> a, workflow::run_id run);
+  core::awaitable<void> StopRun(std::shared_ptr<agent> a, workflow::run_id run);
+  core::awaitable<void> EndRun(workflow::run_id run, workflow::run_end how);
+  worker_target TargetOf(const agent& a) const;
+  core::awaitable<void> RemoveWorker(std::shared_ptr<agent> a,
+                                     std::string reason);
+  std::optional<std::int64_t> LeaseUntil(agent& a);
+  void ReadClock(agent& a, std::int64_t clock_ms);
+  bool IsOtherClock(const agent& a, std::int64_t clock_ms) const;
+
+  // planner.cpp: which waiting task goes where.
+  core::awaitable<void> PlanLoop();
+  void PlanRound();
+  void PlanJob(const workflow::job& j);
+  void PlanStep(const workflow::job& j, const workflow::queue& q,
+                std::uint32_t occurrence, std::uint32_t step);
+  bool IsDue(const workflow::job& j, std::uint32_t occurrence) const;
+  std::vector<std::shared_ptr<agent>> Candidates(const workflow::queue& q,
+                                                 const workflow::step& s);
+  void AskEligibility(const workflow::queue& q, const step_key& key,
+                      const workflow::step& s, std::size_t tasks,
+                      const std::vector<std::shared_ptr<agent>>& candidates);
+  core::awaitable<void> Ask(workflow::queue q, step_key key,
+                            std::vector<core::worker_id> workers);
+  core::awaitable<void> Commit(std::vector<planned_run> runs);
+  core::resources Free(const agent& a) const;
+
+  const dispatcher_settings settings;
+  const core::term term;
+  const boost::asio::any_io_executor executor;
+  core::clock& clock;
+  journal& log;
+  worker_port& workers;
+  eligibility_port& eligibility;
+  const core::time_point began;
+  bool stopped = false;
+
+  std::map<core::worker_id, std::shared_ptr<agent>> agents;
+  /// Where each followed run is.
+  std::map<workflow::run_id, std::shared_ptr<agent>> places;
+  std::set<job_rank> active;
+  std::map<step_key, eligibility_view> eligible;
+  /// Share of the asked workers that were eligible, by queue.
+  std::map<std::string, double> eligible_share;
+  std::vector<planned_run> planned;
+  /// Ended jobs in the order in which their records are dropped.
+  std::vector<std::pair<core::time_point, std::string>> ended_jobs;
+  core::event work;
+};
+
+}  // namespace mangoplank::dispatch
+
+#endif  // MANGOPLANK_SRC_DISPATCH_DISPATCHER_IMPL_H_
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -7,6 +7,7 @@
 #include <exception>
 
 #include "wire/convert.h"
+#include "wire/convert_workflow.h"
 
 namespace mangoplank::wire {
 
@@ -88,6 +89,18 @@
   return EncodeAs<schema::PeerHello>(v);
 }
 
+std::string Encode(const std::vector<workflow::event>& v) {
+  return EncodeAs<schema::WorkflowEvents>(v);
+}
+
+std::string Encode(const workflow::state::image& v) {
+  return EncodeAs<schema::WorkflowImage>(v);
+}
+
+std::string Encode(const workflow::message& v) {
+  return EncodeAs<schema::WorkflowMessage>(v);
+}
+
 core::result<cell::command> DecodeCommand(std::string_view bytes,
                                           const core::failure& malformed) {
   return DecodeAs<schema::Command, cell::command>(bytes, malformed);
@@ -114,6 +127,24 @@
   return DecodeAs<schema::ControlMessage, control::message>(bytes, malformed);
 }
 
+core::result<std::vector<workflow::event>> DecodeWorkflowEvents(
+    std::string_view bytes, const core::failure& malformed) {
+  return DecodeAs<schema::WorkflowEvents, std::vector<workflow::event>>(
+      bytes, malformed);
+}
+
+core::result<workflow::state::image> DecodeWorkflowImage(
+    std::string_view bytes, const core::failure& malformed) {
+  return DecodeAs<schema::WorkflowImage, workflow::state::image>(bytes,
+                                                                 malformed);
+}
+
+core::result<workflow::message> DecodeWorkflowMessage(
+    std::string_view bytes, const core::failure& malformed) {
+  return DecodeAs<schema::WorkflowMessage, workflow::message>(bytes,
+                                                              malformed);
+}
+
 core::result<peer_hello> DecodePeerHello(std::string_view bytes,
                                          const core::failure& malformed) {
   return DecodeAs<schema::PeerHello, peer_hello>(bytes, malformed);
--- /dev/null
+++ b/src/wire/workflow.capnp
@@ -0,0 +1,213 @@
+@0xd41c6a0b7e52f983;
+# Messages and state of workflows. Enumerations are numbers in the order of the
+# C++ enumeration; the decoder checks their range.
+
+using Cxx = import "/capnp/c++.capnp";
+using Cell = import "cell.capnp";
+$Cxx.namespace("mangoplank::wire::schema");
+
+struct WorkflowStep {
+  count @0 :UInt32;
+  need @1 :Cell.Resources;
+  estimateMs @2 :Int64;
+  dependsOn @3 :List(UInt32);
+  gang @4 :Bool;
+  sameRack @5 :Bool;
+  requiredLabel @6 :Text;
+  preferredRack @7 :Text;
+  maxPerWorker @8 :UInt32;
+  checkpointing @9 :Bool;
+  longRunning @10 :Bool;
+  filler @11 :Bool;
+}
+
+struct JobSpec {
+  id @0 :Text;
+  payload @1 :Data;
+  steps @2 :List(WorkflowStep);
+  repeatCount @3 :UInt32;
+  firstAt @4 :Int64;
+  intervalMs @5 :Int64;
+}
+
+struct QueueSpec {
+  name @0 :Text;
+  host @1 :Text;
+  pathPrefix @2 :Text;
+  timeoutMs @3 :Int64;
+  targetLatencyMs @4 :Int64;
+  priority @5 :Int32;
+  pool @6 :Text;
+  maxAttempts @7 :UInt32;
+  stretchFactor @8 :Float64;
+  hasEligibility @9 :Bool;
+  decisionMs @10 :Float64;
+  perWorkerMs @11 :Float64;
+  ticketLifeMs @12 :Int64;
+}
+
+struct PoolSpec {
+  name @0 :Text;
+  enforcesCapacity @1 :Bool;
+  standby @2 :Bool;
+}
+
+struct Catalog {
+  version @0 :UInt64;
+  queues @1 :List(QueueSpec);
+  pools @2 :List(PoolSpec);
+  document @3 :Data;
+}
+
+struct WorkerKey {
+  id @0 :Text;
+  born @1 :Int64;
+}
+
+struct WorkerSpec {
+  key @0 :WorkerKey;
+  address @1 :Cell.Endpoint;
+  pool @2 :Text;
+  zone @3 :Text;
+  capacity @4 :Cell.Resources;
+  labels @5 :List(Text);
+  draining @6 :Bool;
+}
+
+struct WorkflowTaskId {
+  job @0 :Text;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  index @3 :UInt32;
+}
+
+struct RunId {
+  task @0 :WorkflowTaskId;
+  number @1 :UInt32;
+}
+
+struct WorkflowEvent {
+  union {
+    catalogDeclared @0 :Catalog;
+    jobAccepted :group {
+      spec @1 :JobSpec;
+      queue @2 :QueueSpec;
+      at @3 :Int64;
+    }
+    jobCancelled @4 :Text;
+    runAssigned :group {
+      run @5 :RunId;
+      worker @6 :WorkerKey;
+    }
+    runEnded :group {
+      run @7 :RunId;
+      how @8 :UInt8;
+      checkpoint @9 :Text;
+    }
+    workerAnnounced @10 :WorkerSpec;
+    workerRemoved @11 :WorkerKey;
+    jobsForgotten @12 :List(Text);
+  }
+}
+
+# One entry of the log.
+struct WorkflowEvents {
+  events @0 :List(WorkflowEvent);
+}
+
+struct WorkflowTask {
+  phase @0 :UInt8;
+  lastRun @1 :UInt32;
+  failures @2 :UInt32;
+  where @3 :WorkerKey;
+  checkpoint @4 :Text;
+}
+
+struct WorkflowJob {
+  spec @0 :JobSpec;
+  queue @1 :QueueSpec;
+  acceptedAt @2 :Int64;
+  phase @3 :UInt8;
+  tasks @4 :List(WorkflowTask);
+  left @5 :List(UInt32);
+}
+
+struct WorkflowImage {
+  catalog @0 :Catalog;
+  jobs @1 :List(WorkflowJob);
+  workers @2 :List(WorkerSpec);
+}
+
+struct JobAddress {
+  host @0 :Text;
+  path @1 :Text;
+}
+
+struct WorkflowRequest {
+  id @0 :UInt64;
+  union {
+    submit :group {
+      to @1 :JobAddress;
+      spec @2 :JobSpec;
+    }
+    get @3 :JobAddress;
+    cancel @4 :JobAddress;
+    announce :group {
+      worker @5 :WorkerSpec;
+      clockMs @6 :Int64;
+    }
+    removeWorker @7 :WorkerKey;
+    declare @8 :Catalog;
+    readCatalog @9 :Void;
+    joinMembers :group {
+      id @10 :Text;
+      address @11 :Cell.Endpoint;
+    }
+  }
+}
+
+struct WorkflowAnswer {
+  id @0 :UInt64;
+  union {
+    accepted @1 :Void;
+    job @2 :UInt8;
+    queued @3 :UInt64;
+    catalog :group {
+      version @4 :UInt64;
+      document @5 :Data;
+    }
+    failure @6 :Cell.Failure;
+    noSuchJob @7 :Void;
+  }
+}
+
+struct EligibleWorker {
+  id @0 :Text;
+  ticket @1 :Text;
+}
+
+struct WorkflowMessage {
+  union {
+    hello :group {
+      name @0 :Text;
+      asksEligibility @1 :Bool;
+    }
+    request @2 :WorkflowRequest;
+    answer @3 :WorkflowAnswer;
+    askEligibility :group {
+      id @4 :UInt64;
+      step @5 :WorkflowTaskId;
+      workers @6 :List(Text);
+    }
+    eligibility :group {
+      id @7 :UInt64;
+      known @8 :Bool;
+      eligible @9 :List(EligibleWorker);
+    }
+    greeting :group {
+      self @10 :Text;
+      leader @11 :Text;
+      members @12 :List(Text);
+    }
+  }
+}
