--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -125,10 +125,11 @@
   for (id.index = 0; id.index < s.count; ++id.index) {
     const workflow::task& t = j.tasks[*j.TaskAt(id)];
     last_run = std::max(last_run, t.last_run);
-    const bool is_planned = places.contains({id, t.last_run + 1}) ||
-                            places.contains({id, last_run + 1});
-    if (t.phase == workflow::task_phase::kAssigned) ++here[t.where.id];
-    if (t.phase == workflow::task_phase::kWaiting && !is_planned) {
+    // A run that is being recorded has its place already.
+    const auto place = places.lower_bound({id, 0});
+    const bool has_place = place != places.end() && place->first.task == id;
+    if (has_place) ++here[place->second->about.key.id];
+    if (t.phase == workflow::task_phase::kWaiting && !has_place) {
       waiting.push_back(id.index);
     }
   }
