Jobs are ranked by whether they can still be on time; calls for eligibility go by priority

Change: a round ranks jobs by outlook, priority and age; a gang that does not fit keeps what comes free on the workers that it takes; the first call names all workers; each asker has one call at a time, long ones leave a quarter of the askers to others.

--- a/include/mangoplank/dispatch/link_server.h
+++ b/include/mangoplank/dispatch/link_server.h
@@ -22,7 +22,7 @@
 
   core::awaitable<std::optional<std::vector<workflow::eligible_worker>>> Ask(
       workflow::task_id step, std::vector<core::worker_id> workers,
-      core::milliseconds cost) override;
+      core::milliseconds cost, std::int32_t priority) override;
 
  private:
   struct impl;
--- a/include/mangoplank/dispatch/ports.h
+++ b/include/mangoplank/dispatch/ports.h
@@ -135,11 +135,12 @@
  public:
   virtual ~eligibility_port() = default;
   /// @param cost expected time of the call, for choosing who asks.
+  /// @param priority of the queue; calls of a lower number go first.
   /// @return the eligible ones of the workers, or no value if there was no
   /// answer in time.
   virtual core::awaitable<std::optional<std::vector<workflow::eligible_worker>>>
   Ask(workflow::task_id step, std::vector<core::worker_id> workers,
-      core::milliseconds cost) = 0;
+      core::milliseconds cost, std::int32_t priority) = 0;
 };
 
 /// The replicated log, as its leader uses it.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -18,12 +18,6 @@
 
 constexpr core::milliseconds kForgetInterval{5'000};
 
-core::resources NeedOf(const workflow::step& s) {
-  core::resources need = s.need;
-  if (s.filler) need.cpu_milli = 0;
-  return need;
-}
-
 }  // namespace
 
 dispatcher::impl::impl(dispatcher_settings s, core::term t,
@@ -62,9 +56,8 @@
 
 /// Follows a job that this term has not seen yet.
 void dispatcher::impl::TrackJob(const workflow::job& j) {
-  const workflow::queue& q = log.State().QueueOf(j);
   if (!IsFinal(j.phase)) {
-    active.insert({q.priority, j.accepted_at, j.spec.id});
+    active.insert(j.spec.id);
   } else {
     ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
   }
@@ -81,7 +74,7 @@
         const auto a = agents.find(t.where.id);
         const workflow::run_id run{id, t.last_run};
         if (a != agents.end()) {
-          a->second->runs[run] = {NeedOf(s), began, false, 0, {}};
+          a->second->runs[run] = {NeedOf(s), clock.Now(), began, false, 0, {}};
           places[run] = a->second;
           if (IsFinal(j.phase)) Spawn(StopRun(a->second, run));
         }
@@ -134,7 +127,7 @@
     return;
   }
   const auto& a = agents[id];
-  a->runs[run] = {r.need, std::nullopt, false, 0, {}};
+  a->runs[run] = {r.need, r.followed_from, std::nullopt, false, 0, {}};
   places[run] = a;
   Spawn(StopRun(a, run));
 }
@@ -184,21 +177,15 @@
   for (run.task.index = first; run.task.index <= last; ++run.task.index) {
     const auto it = places.find(run);
     if (it == places.end() || log.State().IsAssigned(run)) continue;
-    it->second->runs.erase(run);
+    auto& runs = it->second->runs;
+    if (e.how == workflow::run_end::kDone) NoteRunTime(run, runs[run]);
+    runs.erase(run);
     places.erase(it);
   }
 }
 
 void dispatcher::impl::OnJobFinal(const workflow::job& j) {
-  const workflow::queue& q = log.State().QueueOf(j);
-  // The queue's priority may have changed since the job was ranked.
-  if (active.erase({q.priority, j.accepted_at, j.spec.id}) == 0) {
-    const auto it =
-        std::find_if(active.begin(), active.end(),
-                     [&](const job_rank& r) { return r.id == j.spec.id; });
-    if (it == active.end()) return;
-    active.erase(it);
-  }
+  if (active.erase(j.spec.id) == 0) return;
   ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
   const auto first = eligible.lower_bound({j.spec.id, 0, 0});
   auto last = first;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -16,6 +16,7 @@
 /// A run on its way to a worker or there.
 struct followed_run {
   core::resources need;
+  core::time_point followed_from;
   /// The worker has confirmed the start, or it was recorded by an earlier
   /// leader. From then on a look that does not list the run shows that it is
   /// not there.
@@ -25,6 +26,9 @@
   std::string checkpoint;
 };
 
+/// @return the room that a task of the step takes of a worker.
+core::resources NeedOf(const workflow::step& s);
+
 /// What the leader knows of one life of a worker.
 struct agent {
   agent(workflow::worker w, const boost::asio::any_io_executor& e,
@@ -72,8 +76,12 @@
   std::map<core::worker_id, ticket> tickets;
 };
 
-/// Place of a job among those that wait: priority, then order of acceptance.
+/// Whether a job can still meet the objective of its queue.
+enum class outlook : std::uint8_t { kOnTime, kLate, kUseless };
+
+/// Place of a job among those that wait.
 struct job_rank {
+  outlook view = outlook::kOnTime;
   std::int32_t priority = 0;
   core::wall_time_ms accepted_at = 0;
   std::string id;
@@ -81,6 +89,32 @@
   friend auto operator<=>(const job_rank&, const job_rank&) = default;
 };
 
+/// A worker that may take tasks, and its room in the present round: less what
+/// was given to jobs of a higher rank, or is kept for them.
+struct usable_worker {
+  std::shared_ptr<agent> a;
+  core::resources room;
+};
+
+/// A worker for the tasks of one step.
+struct placing_option {
+  usable_worker* where = nullptr;
+  std::string ticket;
+  /// Tasks of the step that it may still take.
+  std::uint32_t most = 0;
+  /// It stands in the rack that holds the data.
+  bool near = false;
+  bool has_ticket = false;
+};
+
+/// Tasks of one step without a place.
+struct waiting_tasks {
+  std::vector<std::uint32_t> indexes;
+  /// Highest run number of any task of the step.
+  std::uint32_t last_run = 0;
+  std::map<core::worker_id, std::uint32_t> placed;
+};
+
 /// A run that a round has decided to start.
 struct planned_run {
   std::shared_ptr<agent> where;
@@ -130,20 +164,33 @@
   // planner.cpp: which waiting task goes where.
   core::awaitable<void> PlanLoop();
   void PlanRound();
+  void BeginRound();
+  job_rank RankOf(const workflow::job& j) const;
+  double ExpectedMs(const workflow::queue& q, const workflow::step& s) const;
+  void NoteRunTime(const workflow::run_id& run, const followed_run& r);
   void PlanJob(const workflow::job& j);
   void PlanStep(const workflow::job& j, const workflow::queue& q,
                 std::uint32_t occurrence, std::uint32_t step);
   bool IsDue(const workflow::job& j, std::uint32_t occurrence) const;
-  std::vector<std::shared_ptr<agent>> Candidates(const workflow::queue& q,
-                                                 const workflow::step& s);
-  void AskEligibility(const workflow::queue& q, const step_key& key,
-                      const workflow::step& s, std::size_t tasks,
-                      const std::vector<std::shared_ptr<agent>>& candidates);
-  core::awaitable<void> Ask(workflow::queue q, step_key key,
-                            std::vector<core::worker_id> workers);
+  waiting_tasks WaitingTasks(const workflow::job& j, std::uint32_t occurrence,
+                             std::uint32_t step) const;
+  std::vector<placing_option> OptionsFor(const workflow::step& s,
+                                         const workflow::queue& q,
+                                         const waiting_tasks& waiting,
+                                         const eligibility_view* view);
+  placing_option* BestOption(std::vector<placing_option>& options,
+                             const workflow::step& s, bool now);
   core::awaitable<void> Commit(std::vector<planned_run> runs);
   core::resources Free(const agent& a) const;
 
+  // inquiry.cpp: calls to the eligibility service.
+  bool IsValid(const ticket& t) const;
+  void Inquire(const workflow::queue& q, const step_key& key,
+               const workflow::step& s, const waiting_tasks& waiting,
+               eligibility_view& view);
+  core::awaitable<void> Ask(workflow::queue q, step_key key,
+                            std::vector<core::worker_id> asked);
+
   const dispatcher_settings settings;
   const core::term term;
   const boost::asio::any_io_executor executor;
@@ -157,10 +204,13 @@
   std::map<core::worker_id, std::shared_ptr<agent>> agents;
   /// Where each followed run is.
   std::map<workflow::run_id, std::shared_ptr<agent>> places;
-  std::set<job_rank> active;
+  /// Jobs that are not final.
+  std::set<std::string> active;
+  /// Workers of the present round, by pool.
+  std::map<std::string, std::vector<usable_worker>> usable;
   std::map<step_key, eligibility_view> eligible;
-  /// Share of the asked workers that were eligible, by queue.
-  std::map<std::string, double> eligible_share;
+  /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
+  std::map<std::string, double> mean_run_ms;
   std::vector<planned_run> planned;
   /// Ended jobs in the order in which their records are dropped.
   std::vector<std::pair<core::time_point, std::string>> ended_jobs;
--- /dev/null
+++ b/src/dispatch/inquiry.cpp
@@ -0,0 +1,106 @@
+#include <algorithm>
+#include <cmath>
+
+#include "dispatch/dispatcher_impl.h"
+
+/// Calls to the eligibility service: which workers may run a step.
+namespace mangoplank::dispatch {
+
+using core::awaitable;
+
+namespace {
+
+/// Life that a ticket must still have: the start is recorded and sent first.
+constexpr core::milliseconds kTicketReserve{150};
+/// Time a ticket may have spent on its way here.
+constexpr core::milliseconds kTicketTravel{60};
+/// Pause after the eligibility service gave no answer.
+constexpr core::milliseconds kAskPause{200};
+/// Most workers that one call may name.
+constexpr std::size_t kMaxAsked = 100;
+
+}  // namespace
+
+bool dispatcher::impl::IsValid(const ticket& t) const {
+  return t.expires >= clock.Now() + kTicketReserve;
+}
+
+/// Asks about a step whose tasks wait. The first call names all workers, so
+/// that it is known who may run the step; later ones those with room whose
+/// tickets have expired.
+void dispatcher::impl::Inquire(const workflow::queue& q, const step_key& key,
+                               const workflow::step& s,
+                               const waiting_tasks& waiting,
+                               eligibility_view& view) {
+  if (view.asking || clock.Now() < view.ask_after) return;
+  const core::resources need = NeedOf(s);
+  std::vector<usable_worker> unknown;
+  std::vector<core::worker_id> renewed;
+  std::size_t room = 0;
+  for (const usable_worker& w : usable[q.pool]) {
+    const core::worker_id& id = w.a->about.key.id;
+    if (view.refused.contains(id) || !w.a->about.capacity.Holds(need)) continue;
+    const auto t = view.tickets.find(id);
+    if (t == view.tickets.end()) {
+      unknown.push_back(w);
+      continue;
+    }
+    // The planner has taken the room that this step was given off already.
+    core::resources left = Free(*w.a);
+    if (!left.Holds(need)) continue;
+    while (left.Holds(need)) {
+      left = left - need;
+      ++room;
+    }
+    if (!IsValid(t->second)) renewed.push_back(id);
+  }
+  const bool gang_fits = !s.gang || room >= waiting.indexes.size();
+  if (!renewed.empty() && gang_fits) {
+    if (renewed.size() > kMaxAsked) renewed.resize(kMaxAsked);
+    view.asking = true;
+    Spawn(Ask(q, key, std::move(renewed)));
+    return;
+  }
+  if (unknown.empty()) return;
+  std::sort(unknown.begin(), unknown.end(),
+            [](const usable_worker& a, const usable_worker& b) {
+              return a.room.cpu_milli > b.room.cpu_milli;
+            });
+  std::vector<core::worker_id> asked;
+  for (const usable_worker& w : unknown) {
+    if (asked.size() < kMaxAsked) asked.push_back(w.a->about.key.id);
+  }
+  view.asking = true;
+  Spawn(Ask(q, key, std::move(asked)));
+}
+
+awaitable<void> dispatcher::impl::Ask(workflow::queue q, step_key key,
+                                      std::vector<core::worker_id> asked) {
+  const auto self = shared_from_this();
+  const auto cost = core::milliseconds(static_cast<std::int64_t>(std::ceil(
+      q.eligibility->decision_ms +
+      q.eligibility->per_worker_ms * static_cast<double>(asked.size()))));
+  const workflow::task_id step{key.job, key.occurrence, key.step, 0};
+  const auto rows = co_await eligibility.Ask(step, asked, cost, q.priority);
+  if (stopped) co_return;
+  const auto it = eligible.find(key);
+  if (it == eligible.end()) co_return;
+  eligibility_view& view = it->second;
+  view.asking = false;
+  if (!rows) {
+    view.ask_after = clock.Now() + kAskPause;
+    co_return;
+  }
+  const core::time_point expires =
+      clock.Now() + core::milliseconds(q.eligibility->ticket_life_ms) -
+      kTicketTravel;
+  std::set<core::worker_id> left(asked.begin(), asked.end());
+  for (const workflow::eligible_worker& e : *rows) {
+    left.erase(e.id);
+    view.tickets[e.id] = {e.ticket, expires};
+  }
+  for (const core::worker_id& id : left) view.refused.insert(id);
+  work.NotifyAll();
+}
+
+}  // namespace mangoplank::dispatch
--- a/src/dispatch/link_server.cpp
+++ b/src/dispatch/link_server.cpp
@@ -22,8 +22,12 @@
 constexpr std::size_t kMaxLinks = 512;
 /// Wait for the first message of a client.
 constexpr core::milliseconds kHelloTime{700};
-/// Time for an answer beyond the expected cost of all calls before it.
+/// Time for an answer beyond the expected cost of the call.
 constexpr core::milliseconds kAskSlack{700};
+/// Longest wait for an asker.
+constexpr core::milliseconds kAskWait{4'000};
+/// A call that takes longer leaves a quarter of the askers to others.
+constexpr core::milliseconds kLongCall{200};
 
 struct pending_ask {
   pending_ask(const asio::any_io_executor& e, core::clock& c) : done(e, c) {}
@@ -31,11 +35,18 @@
   core::event done;
 };
 
-/// A client that can ask the eligibility service.
+/// A client that can ask the eligibility service. It has one call at a time,
+/// so that urgent calls need not wait for others given to it before.
 struct asker {
   std::shared_ptr<wire::connection> link;
-  /// When the calls given to it are expected to be done.
-  core::time_point busy_until;
+  bool busy = false;
+};
+
+/// Place of a call among those that wait for an asker.
+struct ask_rank {
+  std::int32_t priority = 0;
+  std::uint64_t id = 0;
+  friend auto operator<=>(const ask_rank&, const ask_rank&) = default;
 };
 
 }  // namespace
@@ -43,7 +54,10 @@
 struct link_server::impl : std::enable_shared_from_this<link_server::impl> {
   impl(const wire::connection_context& c, consensus::node& n,
        core::member_id me)
-      : context(c), node(n), self(std::move(me)) {}
+      : context(c),
+        node(n),
+        self(std::move(me)),
+        freed(context.executor, context.clock) {}
 
   awaitable<void> Serve(std::shared_ptr<wire::connection> c);
   awaitable<void> ReadLoop(std::shared_ptr<wire::connection> c);
@@ -51,6 +65,7 @@
   awaitable<void> Answer(std::shared_ptr<wire::connection> c,
                          workflow::request r);
   message Greeting() const;
+  wire::connection* TakeAsker(bool is_long);
 
   wire::connection_context context;
   consensus::node& node;
@@ -62,8 +77,28 @@
   std::map<wire::connection*, asker> askers;
   std::uint64_t next_id = 1;
   std::map<std::uint64_t, std::shared_ptr<pending_ask>> asks;
+  /// Calls that wait for an asker.
+  std::set<ask_rank> short_calls;
+  std::set<ask_rank> long_calls;
+  core::event freed;
 };
 
+/// @return an asker without a call, marked as busy, or null.
+wire::connection* link_server::impl::TakeAsker(bool is_long) {
+  std::size_t idle = 0;
+  wire::connection* found = nullptr;
+  for (const auto& [c, a] : askers) {
+    if (a.busy || !a.link->IsOpen()) continue;
+    ++idle;
+    found = c;
+  }
+  if (found == nullptr || (is_long && idle <= askers.size() / 4)) {
+    return nullptr;
+  }
+  askers[found].busy = true;
+  return found;
+}
+
 message link_server::impl::Greeting() const {
   const consensus::node_status s = node.Status();
   workflow::greeting g{self, {}, {}};
@@ -98,7 +133,7 @@
     co_await c->Receive();
     co_return;
   }
-  if (h->asks_eligibility) askers[c.get()] = {c, context.clock.Now()};
+  if (h->asks_eligibility) askers[c.get()] = {c, false};
   links.insert(c);
   co_await ReadLoop(c);
   c->Close();
@@ -170,27 +205,37 @@
 
 awaitable<std::optional<std::vector<workflow::eligible_worker>>>
 link_server::Ask(workflow::task_id step, std::vector<core::worker_id> workers,
-                 core::milliseconds cost) {
+                 core::milliseconds cost, std::int32_t priority) {
   const auto self = impl_;
-  const core::time_point now = self->context.clock.Now();
-  asker* best = nullptr;
-  for (auto& [c, a] : self->askers) {
-    if (best == nullptr || a.busy_until < best->busy_until) best = &a;
-  }
-  if (best == nullptr) co_return std::nullopt;
-  best->busy_until = std::max(best->busy_until, now) + cost;
-  const core::time_point deadline = best->busy_until + kAskSlack;
+  core::clock& clock = self->context.clock;
   const std::uint64_t id = self->next_id++;
+  const bool is_long = cost > kLongCall;
+  auto& line = is_long ? self->long_calls : self->short_calls;
+  const ask_rank rank{priority, id};
+  line.insert(rank);
+  const core::time_point give_up = clock.Now() + kAskWait;
+  wire::connection* used = nullptr;
+  while (used == nullptr && clock.Now() < give_up) {
+    if (*line.begin() == rank) used = self->TakeAsker(is_long);
+    if (used == nullptr) co_await self->freed.WaitUntil(give_up);
+  }
+  line.erase(rank);
+  self->freed.NotifyAll();
+  if (used == nullptr) co_return std::nullopt;
+  const core::time_point deadline = clock.Now() + cost + kAskSlack;
   const auto p = std::make_shared<pending_ask>(self->context.executor,
                                                self->context.clock);
   self->asks.emplace(id, p);
-  best->link->Send(wire::Encode(message(
+  self->askers[used].link->Send(wire::Encode(message(
       workflow::ask_eligibility{id, std::move(step), std::move(workers)})));
   while (!p->result) {
     const bool notified = co_await p->done.WaitUntil(deadline);
     if (!notified) break;
   }
   self->asks.erase(id);
+  const auto it = self->askers.find(used);
+  if (it != self->askers.end()) it->second.busy = false;
+  self->freed.NotifyAll();
   if (!p->result || !p->result->known) co_return std::nullopt;
   co_return std::move(p->result->eligible);
 }
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -13,48 +13,49 @@
 namespace {
 
 /// Changes within this time are planned together.
-constexpr core::milliseconds kRoundInterval{5};
+constexpr core::milliseconds kRoundInterval{10};
 /// Longest time without a round: tickets expire and timed jobs come due.
 constexpr core::milliseconds kIdleRound{100};
-/// Life that a ticket must still have: the start is recorded and sent first.
-constexpr core::milliseconds kTicketReserve{150};
-/// Time a ticket may have spent on its way here.
-constexpr core::milliseconds kTicketTravel{60};
-/// Pause after the eligibility service gave no answer.
-constexpr core::milliseconds kAskPause{200};
-/// Most workers that one call may name.
-constexpr std::size_t kMaxAsked = 100;
-/// Assumed share of eligible workers before a queue has answers, and the weight
-/// of each answer.
-constexpr double kFirstShare = 0.5;
-constexpr double kShareWeight = 0.1;
-/// Room asked for, as a multiple of what the step needs.
-constexpr double kAskSpare = 1.6;
+/// Part of the remaining work that must still fit before the objective. Below
+/// 1, as estimates are rough and giving up early costs more than trying.
+constexpr double kFeasible = 0.7;
+/// A job that takes this multiple of its objective is of no use any more.
+constexpr int kUseless = 3;
+/// Workers that the objective's call to the eligibility service names.
+constexpr int kUsualAsked = 30;
+/// Weight of each run in the mean run time of a queue.
+constexpr double kTimeWeight = 0.05;
 
 bool HasLabel(const workflow::worker& w, const std::string& label) {
   return label.empty() ||
          std::find(w.labels.begin(), w.labels.end(), label) != w.labels.end();
 }
 
-/// @return how many tasks of this need fit, at most `most`.
-std::size_t Fits(core::resources room, const core::resources& need,
-                 std::size_t most) {
-  std::size_t n = 0;
-  while (n < most && room.Holds(need)) {
-    room = room - need;
-    ++n;
+/// Longest chain of steps of one occurrence, in milliseconds.
+/// @param time of one step; 0 for those that count no more.
+template <class F>
+double LongestChain(const workflow::job_spec& spec, F&& time) {
+  std::vector<double> ends;
+  double longest = 0;
+  for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
+    double begin = 0;
+    for (const std::uint32_t d : spec.steps[i].depends_on) {
+      begin = std::max(begin, ends[d]);
+    }
+    ends.push_back(begin + time(i));
+    longest = std::max(longest, ends.back());
   }
-  return n;
+  return longest;
 }
 
+}  // namespace
+
 core::resources NeedOf(const workflow::step& s) {
   core::resources need = s.need;
   if (s.filler) need.cpu_milli = 0;
   return need;
 }
 
-}  // namespace
-
 core::resources dispatcher::impl::Free(const agent& a) const {
   core::resources room = a.about.capacity;
   for (const auto& [run, r] : a.runs) room = room - r.need;
@@ -71,15 +72,80 @@
   }
 }
 
+/// Expected run time of a task: what the job declares, corrected by what the
+/// queue's tasks took.
+double dispatcher::impl::ExpectedMs(const workflow::queue& q,
+                                    const workflow::step& s) const {
+  const auto mean = mean_run_ms.find(q.name);
+  const auto declared = static_cast<double>(s.estimate_ms);
+  if (mean == mean_run_ms.end()) return declared;
+  if (declared <= 0) return mean->second;
+  return std::sqrt(mean->second * declared);
+}
+
+void dispatcher::impl::NoteRunTime(const workflow::run_id& run,
+                                   const followed_run& r) {
+  const workflow::job* const j = log.State().FindJob(run.task.job);
+  if (j == nullptr) return;
+  const auto took =
+      std::chrono::duration<double, std::milli>(clock.Now() - r.followed_from)
+          .count();
+  const auto [mean, first] = mean_run_ms.emplace(j->q.name, took);
+  if (!first) mean->second += kTimeWeight * (took - mean->second);
+}
+
+/// Ranks a job by whether it can still be on time, then by the priority of its
+/// queue and its age.
+job_rank dispatcher::impl::RankOf(const workflow::job& j) const {
+  const workflow::queue& q = log.State().QueueOf(j);
+  job_rank rank{outlook::kOnTime, q.priority, j.accepted_at, j.spec.id};
+  if (j.spec.repeat_count > 0) return rank;
+  double per_step = 0;
+  if (q.eligibility) {
+    per_step =
+        q.eligibility->decision_ms + kUsualAsked * q.eligibility->per_worker_ms;
+  }
+  const double whole = LongestChain(j.spec, [&](std::uint32_t i) {
+    return ExpectedMs(q, j.spec.steps[i]) + per_step;
+  });
+  const double left = LongestChain(j.spec, [&](std::uint32_t i) {
+    return j.left[j.StepAt(0, i)] == 0 ? 0.0 : ExpectedMs(q, j.spec.steps[i]);
+  });
+  const double objective =
+      q.stretch_factor * whole + static_cast<double>(q.target_latency_ms);
+  const double end =
+      static_cast<double>(clock.WallNow() - j.accepted_at) + kFeasible * left;
+  if (end > objective) rank.view = outlook::kLate;
+  if (end > kUseless * objective) rank.view = outlook::kUseless;
+  return rank;
+}
+
 void dispatcher::impl::PlanRound() {
-  for (const job_rank& rank : active) {
-    const workflow::job* const j = log.State().FindJob(rank.id);
-    if (j != nullptr) PlanJob(*j);
+  BeginRound();
+  std::vector<job_rank> ranks;
+  ranks.reserve(active.size());
+  for (const std::string& id : active) {
+    const workflow::job* const j = log.State().FindJob(id);
+    if (j != nullptr) ranks.push_back(RankOf(*j));
   }
+  std::sort(ranks.begin(), ranks.end());
+  for (const job_rank& rank : ranks) PlanJob(*log.State().FindJob(rank.id));
   if (planned.empty()) return;
   Spawn(Commit(std::exchange(planned, {})));
 }
 
+/// Collects the workers that may take tasks, with their room.
+void dispatcher::impl::BeginRound() {
+  usable.clear();
+  const core::time_point now = clock.Now();
+  for (const auto& [id, a] : agents) {
+    const bool works = a->synced && a->clock_ms && !a->about.draining &&
+                       now >= a->avoid_until &&
+                       now < a->heard + settings.worker_silence;
+    if (works) usable[a->about.pool].push_back({a, Free(*a)});
+  }
+}
+
 bool dispatcher::impl::IsDue(const workflow::job& j,
                              std::uint32_t occurrence) const {
   if (j.spec.repeat_count == 0) return true;
@@ -97,186 +163,115 @@
   }
 }
 
-/// @return workers that may take tasks of a step, apart from their room.
-std::vector<std::shared_ptr<agent>> dispatcher::impl::Candidates(
-    const workflow::queue& q, const workflow::step& s) {
-  std::vector<std::shared_ptr<agent>> found;
-  const core::time_point now = clock.Now();
-  for (const auto& [id, a] : agents) {
-    const bool works = a->synced && a->clock_ms && !a->about.draining &&
-                       now >= a->avoid_until &&
-                       now < a->heard + settings.worker_silence;
-    if (!works || a->about.pool != q.pool) continue;
-    if (!HasLabel(a->about, s.required_label)) continue;
-    found.push_back(a);
-  }
-  return found;
-}
-
-void dispatcher::impl::PlanStep(const workflow::job& j,
-                                const workflow::queue& q,
-                                std::uint32_t occurrence, std::uint32_t step) {
-  const workflow::step& s = j.spec.steps[step];
-  const core::resources need = NeedOf(s);
+/// @return the tasks of a step that wait for a place, and how many of the
+/// others each worker has.
+waiting_tasks dispatcher::impl::WaitingTasks(const workflow::job& j,
+                                             std::uint32_t occurrence,
+                                             std::uint32_t step) const {
+  waiting_tasks w;
   workflow::task_id id{j.spec.id, occurrence, step, 0};
-  std::vector<std::uint32_t> waiting;
-  std::uint32_t last_run = 0;
-  std::map<core::worker_id, std::uint32_t> here;
-  for (id.index = 0; id.index < s.count; ++id.index) {
+  for (; id.index < j.spec.steps[step].count; ++id.index) {
     const workflow::task& t = j.tasks[*j.TaskAt(id)];
-    last_run = std::max(last_run, t.last_run);
+    w.last_run = std::max(w.last_run, t.last_run);
     // A run that is being recorded has its place already.
     const auto place = places.lower_bound({id, 0});
     const bool has_place = place != places.end() && place->first.task == id;
-    if (has_place) ++here[place->second->about.key.id];
+    if (has_place) ++w.placed[place->second->about.key.id];
     if (t.phase == workflow::task_phase::kWaiting && !has_place) {
-      waiting.push_back(id.index);
+      w.indexes.push_back(id.index);
     }
   }
-  if (waiting.empty() || (s.gang && waiting.size() != s.count)) return;
-  const core::time_point now = clock.Now();
-  const auto candidates = Candidates(q, s);
+  return w;
+}
+
+void dispatcher::impl::PlanStep(const workflow::job& j,
+                                const workflow::queue& q,
+                                std::uint32_t occurrence, std::uint32_t step) {
+  const workflow::step& s = j.spec.steps[step];
+  const waiting_tasks waiting = WaitingTasks(j, occurrence, step);
+  if (waiting.indexes.empty()) return;
+  if (s.gang && waiting.indexes.size() != s.count) return;
   const step_key key{j.spec.id, occurrence, step};
   eligibility_view* const view = q.eligibility ? &eligible[key] : nullptr;
-
-  struct option {
-    std::shared_ptr<agent> a;
-    core::resources room;
-    std::string ticket;
-    std::uint32_t most = 0;
-  };
-  std::vector<option> options;
-  for (const auto& a : candidates) {
-    option o{a, Free(*a), {}, s.count};
-    if (view != nullptr) {
-      const auto t = view->tickets.find(a->about.key.id);
-      if (t == view->tickets.end()) continue;
-      if (t->second.expires < now + kTicketReserve) continue;
-      o.ticket = t->second.text;
-    }
-    if (s.max_per_worker > 0) {
-      const std::uint32_t used = here[a->about.key.id];
-      o.most = s.max_per_worker > used ? s.max_per_worker - used : 0;
-    }
-    if (o.most > 0 && o.room.Holds(need)) options.push_back(std::move(o));
-  }
-  // The tightest worker that has room, so that large tasks find some too.
+  std::vector<placing_option> options = OptionsFor(s, q, waiting, view);
+  const core::resources need = NeedOf(s);
   std::vector<planned_run> chosen;
-  for (const std::uint32_t index : waiting) {
-    option* best = nullptr;
-    for (option& o : options) {
-      if (o.most == 0 || !o.room.Holds(need)) continue;
-      const bool near = HasLabel(o.a->about, s.preferred_rack);
-      const bool best_near =
-          best != nullptr && HasLabel(best->a->about, s.preferred_rack);
-      const bool better =
-          best == nullptr || (near && !best_near) ||
-          (near == best_near && o.room.cpu_milli < best->room.cpu_milli);
-      if (better) best = &o;
-    }
+  std::vector<placing_option*> reserved;
+  workflow::task_id id{j.spec.id, occurrence, step, 0};
+  for (const std::uint32_t index : waiting.indexes) {
+    placing_option* const best = BestOption(options, s, true);
     if (best == nullptr) break;
-    best->room = best->room - need;
+    best->where->room = best->where->room - need;
     --best->most;
+    reserved.push_back(best);
     id.index = index;
-    const workflow::task& t = j.tasks[*j.TaskAt(id)];
-    const std::uint32_t number = (s.gang ? last_run : t.last_run) + 1;
-    chosen.push_back({best->a, {id, number}, best->ticket});
+    const std::uint32_t last =
+        s.gang ? waiting.last_run : j.tasks[*j.TaskAt(id)].last_run;
+    chosen.push_back({best->where->a, {id, last + 1}, best->ticket});
+  }
+  const bool all = chosen.size() == waiting.indexes.size();
+  if (!all && s.gang) {
+    // The workers that it takes keep what comes free for it.
+    for (std::size_t n = chosen.size(); n < waiting.indexes.size(); ++n) {
+      placing_option* const best = BestOption(options, s, false);
+      if (best == nullptr) break;
+      best->where->room = best->where->room - need;
+      --best->most;
+    }
+    chosen.clear();
   }
-  const bool all = chosen.size() == waiting.size();
-  if (s.gang && !all) chosen.clear();
+  if (!all && view != nullptr) Inquire(q, key, s, waiting, *view);
   for (planned_run& p : chosen) {
-    p.where->runs[p.run].need = need;
+    p.where->runs[p.run] = {need, clock.Now()};
     places[p.run] = p.where;
     planned.push_back(std::move(p));
   }
-  if (!all && view != nullptr) {
-    AskEligibility(q, key, s, waiting.size() - chosen.size(), candidates);
-  }
 }
 
-/// Asks about workers that have room and no valid ticket, the ones known to be
-/// eligible first.
-void dispatcher::impl::AskEligibility(
-    const workflow::queue& q, const step_key& key, const workflow::step& s,
-    std::size_t tasks, const std::vector<std::shared_ptr<agent>>& candidates) {
-  eligibility_view& view = eligible[key];
-  const core::time_point now = clock.Now();
-  if (view.asking || now < view.ask_after) return;
-  const core::resources need = NeedOf(s);
-  struct option {
-    bool known = false;
-    core::resources room;
-    core::worker_id id;
-    std::size_t fits = 0;
-  };
-  std::vector<option> options;
-  double have = 0;
-  for (const auto& a : candidates) {
-    const core::worker_id& id = a->about.key.id;
-    if (view.refused.contains(id)) continue;
-    option o{false, Free(*a), id, 0};
-    const std::size_t most = s.max_per_worker > 0 ? s.max_per_worker : tasks;
-    o.fits = Fits(o.room, need, most);
-    if (o.fits == 0) continue;
-    const auto t = view.tickets.find(id);
-    o.known = t != view.tickets.end();
-    if (o.known && t->second.expires >= now + kTicketReserve) {
-      have += static_cast<double>(o.fits);
-      continue;
+/// @return the workers that may run tasks of the step, whatever their room.
+std::vector<placing_option> dispatcher::impl::OptionsFor(
+    const workflow::step& s, const workflow::queue& q,
+    const waiting_tasks& waiting, const eligibility_view* view) {
+  std::vector<placing_option> options;
+  for (usable_worker& w : usable[q.pool]) {
+    const workflow::worker& about = w.a->about;
+    if (!HasLabel(about, s.required_label)) continue;
+    placing_option o{&w, {}, s.count, HasLabel(about, s.preferred_rack), true};
+    if (view != nullptr) {
+      const auto t = view->tickets.find(about.key.id);
+      if (t == view->tickets.end()) continue;
+      o.ticket = t->second.text;
+      o.has_ticket = IsValid(t->second);
     }
-    options.push_back(std::move(o));
-  }
-  std::sort(options.begin(), options.end(),
-            [](const option& a, const option& b) {
-              return std::tuple(!a.known, -a.room.cpu_milli, a.id) <
-                     std::tuple(!b.known, -b.room.cpu_milli, b.id);
-            });
-  const auto found = eligible_share.find(q.name);
-  const double share =
-      found == eligible_share.end() ? kFirstShare : found->second;
-  const double wanted = static_cast<double>(tasks) * kAskSpare;
-  std::vector<core::worker_id> asked;
-  for (const option& o : options) {
-    if (have >= wanted || asked.size() >= kMaxAsked) break;
-    have += static_cast<double>(o.fits) * (o.known ? 1.0 : share);
-    asked.push_back(o.id);
+    if (s.max_per_worker > 0) {
+      const auto used = waiting.placed.find(about.key.id);
+      const std::uint32_t n = used == waiting.placed.end() ? 0 : used->second;
+      o.most = s.max_per_worker > n ? s.max_per_worker - n : 0;
+    }
+    if (o.most > 0) options.push_back(std::move(o));
   }
-  if (asked.empty()) return;
-  view.asking = true;
-  Spawn(Ask(q, key, std::move(asked)));
+  return options;
 }
 
-awaitable<void> dispatcher::impl::Ask(workflow::queue q, step_key key,
-                                      std::vector<core::worker_id> asked) {
-  const auto self = shared_from_this();
-  const auto cost = core::milliseconds(static_cast<std::int64_t>(std::ceil(
-      q.eligibility->decision_ms +
-      q.eligibility->per_worker_ms * static_cast<double>(asked.size()))));
-  const workflow::task_id step{key.job, key.occurrence, key.step, 0};
-  const auto rows = co_await eligibility.Ask(step, asked, cost);
-  if (stopped) co_return;
-  const auto it = eligible.find(key);
-  if (it == eligible.end()) co_return;
-  eligibility_view& view = it->second;
-  view.asking = false;
-  if (!rows) {
-    view.ask_after = clock.Now() + kAskPause;
-    co_return;
-  }
-  const core::time_point expires =
-      clock.Now() + core::milliseconds(q.eligibility->ticket_life_ms) -
-      kTicketTravel;
-  std::set<core::worker_id> left(asked.begin(), asked.end());
-  for (const workflow::eligible_worker& e : *rows) {
-    left.erase(e.id);
-    view.tickets[e.id] = {e.ticket, expires};
+/// @param now whether the task is to start now. Then the tightest worker that
+/// has room is taken, so that large tasks find some too; else the one that has
+/// the most.
+/// @return the best worker for the next task, or null.
+placing_option* dispatcher::impl::BestOption(
+    std::vector<placing_option>& options, const workflow::step& s, bool now) {
+  const core::resources need = NeedOf(s);
+  placing_option* best = nullptr;
+  for (placing_option& o : options) {
+    if (o.most == 0 || !o.where->a->about.capacity.Holds(need)) continue;
+    if (now && (!o.has_ticket || !o.where->room.Holds(need))) continue;
+    const std::int64_t room = o.where->room.cpu_milli;
+    const bool better =
+        best == nullptr || (o.near && !best->near) ||
+        (o.near == best->near && (now ? room < best->where->room.cpu_milli
+                                      : room > best->where->room.cpu_milli));
+    if (better) best = &o;
   }
-  for (const core::worker_id& id : left) view.refused.insert(id);
-  const auto [share, added] = eligible_share.emplace(q.name, kFirstShare);
-  const double seen =
-      static_cast<double>(rows->size()) / static_cast<double>(asked.size());
-  share->second += kShareWeight * (seen - share->second);
-  work.NotifyAll();
+  return best;
 }
 
 awaitable<void> dispatcher::impl::Commit(std::vector<planned_run> runs) {
