A mismatch is not hidden by a heartbeat; waiting calls wake for new askers

(2) Calls for eligibility that waited when a new leader had no askers yet were not woken by the first one: no task started for 4 s after each change of leader. Test: NodeTest.AHeartbeatDoesNotHideAMismatch fails before, passes after.

--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -256,6 +256,42 @@
   for (const auto& m : c.members) EXPECT_EQ(m->machine->applied.size(), 1u);
 }
 
+// Guards against a member that stays behind for good: a heartbeat that came
+// right after an append that did not match made the member forget to say so,
+// and the leader waited for that reply.
+TEST(NodeTest, AHeartbeatDoesNotHideAMismatch) {
+  fake_cluster c(3, 21);
+  c.Start(1);
+  ASSERT_TRUE(
+      c.RunUntil([&] { return c.members[1]->HasStarted(); }, seconds(1)));
+  const auto leader = c.network.TransportOf(c.members[0]->who.id);
+  const auto link = c.Await(leader->Connect(c.members[1]->who));
+  ASSERT_TRUE(link);
+  append_request probe;
+  probe.t = 5;
+  probe.leader = c.members[0]->who.id;
+  probe.previous_at = 10;
+  probe.previous_term = 5;
+  probe.round = 1;
+  append_request heartbeat;
+  heartbeat.t = 5;
+  heartbeat.leader = probe.leader;
+  heartbeat.round = 2;
+  const message first = probe;
+  const message second = heartbeat;
+  ASSERT_TRUE(c.Await((*link)->Send(first)));
+  ASSERT_TRUE(c.Await((*link)->Send(second)));
+  bool told = false;
+  for (std::uint64_t round = 0; !told && round < 2;) {
+    const auto m = c.Await((*link)->Receive());
+    ASSERT_TRUE(m);
+    const auto& reply = std::get<append_reply>(*m);
+    round = reply.round;
+    told = !reply.matched;
+  }
+  EXPECT_TRUE(told);
+}
+
 // Guards against a change that leaves a cell that can never decide again.
 TEST(NodeTest, KeepsTheLastVoter) {
   fake_cluster c(1, 13);
--- a/src/consensus/server.cpp
+++ b/src/consensus/server.cpp
@@ -87,8 +87,10 @@
 void node::impl::OnAppend(served_link& s, append_request& m) {
   if (AcceptLeader(s, m.t, m.leader)) {
     s.round = std::max(s.round, m.round);
-    s.mismatch = Mismatch(m);
-    if (!s.mismatch) {
+    const auto mismatch = Mismatch(m);
+    // Kept until the reply says so, also if a heartbeat comes before that.
+    if (mismatch) s.mismatch = mismatch;
+    if (!mismatch) {
       for (log_entry& e : m.entries) {
         const bool known = e.at <= log.LastAt();
         if (e.at <= committed || (known && log.TermAt(e.at) == e.t)) continue;
--- a/src/dispatch/link_server.cpp
+++ b/src/dispatch/link_server.cpp
@@ -133,7 +133,10 @@
     co_await c->Receive();
     co_return;
   }
-  if (h->asks_eligibility) askers[c.get()] = {c, false};
+  if (h->asks_eligibility) {
+    askers[c.get()] = {c, false};
+    freed.NotifyAll();
+  }
   links.insert(c);
   co_await ReadLoop(c);
   c->Close();
