--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -74,7 +74,11 @@
         const auto a = agents.find(t.where.id);
         const workflow::run_id run{id, t.last_run};
         if (a != agents.end()) {
-          a->second->runs[run] = {NeedOf(s), clock.Now(), began, false, 0, {}};
+          a->second->runs[run] = {.need = NeedOf(s),
+                                  .followed_from = clock.Now(),
+                                  .settled_at = began,
+                                  .priority = log.State().QueueOf(j).priority,
+                                  .resumable = s.checkpointing};
           places[run] = a->second;
           if (IsFinal(j.phase)) Spawn(StopRun(a->second, run));
         }
@@ -127,7 +131,8 @@
     return;
   }
   const auto& a = agents[id];
-  a->runs[run] = {r.need, r.followed_from, std::nullopt, false, 0, {}};
+  a->runs[run] = r;
+  a->runs[run].stopping = false;
   places[run] = a;
   Spawn(StopRun(a, run));
 }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -22,6 +22,10 @@
   /// not there.
   std::optional<core::time_point> settled_at;
   bool stopping = false;
+  /// Of the job's queue.
+  std::int32_t priority = 0;
+  /// Can be stopped without a loss of work.
+  bool resumable = false;
   int percent = 0;
   std::string checkpoint;
 };
@@ -94,6 +98,8 @@
 struct usable_worker {
   std::shared_ptr<agent> a;
   core::resources room;
+  /// What runs take that are being stopped.
+  core::resources leaving;
 };
 
 /// A worker for the tasks of one step.
@@ -168,9 +174,12 @@
   job_rank RankOf(const workflow::job& j) const;
   double ExpectedMs(const workflow::queue& q, const workflow::step& s) const;
   void NoteRunTime(const workflow::run_id& run, const followed_run& r);
-  void PlanJob(const workflow::job& j);
-  void PlanStep(const workflow::job& j, const workflow::queue& q,
+  void PlanJob(const workflow::job& j, outlook view);
+  void PlanStep(const workflow::job& j, outlook view, const workflow::queue& q,
                 std::uint32_t occurrence, std::uint32_t step);
+  void KeepRoom(std::vector<placing_option>& options, const workflow::step& s,
+                std::size_t tasks, std::optional<std::int32_t> preempts);
+  void Preempt(usable_worker& w, std::int32_t priority);
   bool IsDue(const workflow::job& j, std::uint32_t occurrence) const;
   waiting_tasks WaitingTasks(const workflow::job& j, std::uint32_t occurrence,
                              std::uint32_t step) const;
@@ -185,9 +194,10 @@
 
   // inquiry.cpp: calls to the eligibility service.
   bool IsValid(const ticket& t) const;
+  core::milliseconds AskCost(const workflow::queue& q, std::size_t n) const;
   void Inquire(const workflow::queue& q, const step_key& key,
                const workflow::step& s, const waiting_tasks& waiting,
-               eligibility_view& view);
+               bool keep_valid, eligibility_view& view);
   core::awaitable<void> Ask(workflow::queue q, step_key key,
                             std::vector<core::worker_id> asked);
 
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -18,6 +18,26 @@
 constexpr core::milliseconds kAskPause{200};
 /// Most workers that one call may name.
 constexpr std::size_t kMaxAsked = 100;
+/// Workers whose tickets are renewed for each task of a gang that waits for
+/// room.
+constexpr std::size_t kRenewedPerTask = 2;
+
+/// @return at most `most` of the workers, those with the most room.
+std::vector<core::worker_id> Roomiest(std::vector<usable_worker> workers,
+                                      std::size_t most) {
+  std::sort(workers.begin(), workers.end(),
+            [](const usable_worker& a, const usable_worker& b) {
+              return (a.room + a.leaving).cpu_milli >
+                     (b.room + b.leaving).cpu_milli;
+            });
+  std::vector<core::worker_id> ids;
+  for (const usable_worker& w : workers) {
+    if (ids.size() < std::min(most, kMaxAsked)) {
+      ids.push_back(w.a->about.key.id);
+    }
+  }
+  return ids;
+}
 
 }  // namespace
 
@@ -25,18 +45,31 @@
   return t.expires >= clock.Now() + kTicketReserve;
 }
 
+core::milliseconds dispatcher::impl::AskCost(const workflow::queue& q,
+                                             std::size_t n) const {
+  return core::milliseconds(static_cast<std::int64_t>(
+      std::ceil(q.eligibility->decision_ms +
+                q.eligibility->per_worker_ms * static_cast<double>(n))));
+}
+
 /// Asks about a step whose tasks wait. The first call names all workers, so
 /// that it is known who may run the step; later ones those with room whose
 /// tickets have expired.
+/// @param keep_valid renews tickets before they expire, also without room: a
+/// gang can then start as soon as there is room.
 void dispatcher::impl::Inquire(const workflow::queue& q, const step_key& key,
                                const workflow::step& s,
-                               const waiting_tasks& waiting,
+                               const waiting_tasks& waiting, bool keep_valid,
                                eligibility_view& view) {
   if (view.asking || clock.Now() < view.ask_after) return;
   const core::resources need = NeedOf(s);
   std::vector<usable_worker> unknown;
-  std::vector<core::worker_id> renewed;
+  std::vector<usable_worker> renewed;
   std::size_t room = 0;
+  const core::time_point renew_at =
+      clock.Now() + kTicketReserve +
+      (keep_valid ? AskCost(q, waiting.indexes.size() * kRenewedPerTask)
+                  : core::milliseconds(0));
   for (const usable_worker& w : usable[q.pool]) {
     const core::worker_id& id = w.a->about.key.id;
     if (view.refused.contains(id) || !w.a->about.capacity.Holds(need)) continue;
@@ -47,39 +80,29 @@
     }
     // The planner has taken the room that this step was given off already.
     core::resources left = Free(*w.a);
-    if (!left.Holds(need)) continue;
+    if (!left.Holds(need) && !keep_valid) continue;
     while (left.Holds(need)) {
       left = left - need;
       ++room;
     }
-    if (!IsValid(t->second)) renewed.push_back(id);
+    if (t->second.expires < renew_at) renewed.push_back(w);
   }
   const bool gang_fits = !s.gang || room >= waiting.indexes.size();
-  if (!renewed.empty() && gang_fits) {
-    if (renewed.size() > kMaxAsked) renewed.resize(kMaxAsked);
+  if (!renewed.empty() && (gang_fits || keep_valid)) {
+    const std::size_t wanted = waiting.indexes.size() * kRenewedPerTask;
     view.asking = true;
-    Spawn(Ask(q, key, std::move(renewed)));
+    Spawn(Ask(q, key, Roomiest(std::move(renewed), wanted)));
     return;
   }
   if (unknown.empty()) return;
-  std::sort(unknown.begin(), unknown.end(),
-            [](const usable_worker& a, const usable_worker& b) {
-              return a.room.cpu_milli > b.room.cpu_milli;
-            });
-  std::vector<core::worker_id> asked;
-  for (const usable_worker& w : unknown) {
-    if (asked.size() < kMaxAsked) asked.push_back(w.a->about.key.id);
-  }
   view.asking = true;
-  Spawn(Ask(q, key, std::move(asked)));
+  Spawn(Ask(q, key, Roomiest(std::move(unknown), kMaxAsked)));
 }
 
 awaitable<void> dispatcher::impl::Ask(workflow::queue q, step_key key,
                                       std::vector<core::worker_id> asked) {
   const auto self = shared_from_this();
-  const auto cost = core::milliseconds(static_cast<std::int64_t>(std::ceil(
-      q.eligibility->decision_ms +
-      q.eligibility->per_worker_ms * static_cast<double>(asked.size()))));
+  const core::milliseconds cost = AskCost(q, asked.size());
   const workflow::task_id step{key.job, key.occurrence, key.step, 0};
   const auto rows = co_await eligibility.Ask(step, asked, cost, q.priority);
   if (stopped) co_return;
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -129,7 +129,9 @@
     if (j != nullptr) ranks.push_back(RankOf(*j));
   }
   std::sort(ranks.begin(), ranks.end());
-  for (const job_rank& rank : ranks) PlanJob(*log.State().FindJob(rank.id));
+  for (const job_rank& rank : ranks) {
+    PlanJob(*log.State().FindJob(rank.id), rank.view);
+  }
   if (planned.empty()) return;
   Spawn(Commit(std::exchange(planned, {})));
 }
@@ -142,7 +144,12 @@
     const bool works = a->synced && a->clock_ms && !a->about.draining &&
                        now >= a->avoid_until &&
                        now < a->heard + settings.worker_silence;
-    if (works) usable[a->about.pool].push_back({a, Free(*a)});
+    if (!works) continue;
+    usable_worker w{a, Free(*a), {}};
+    for (const auto& [run, r] : a->runs) {
+      if (r.stopping) w.leaving = w.leaving + r.need;
+    }
+    usable[a->about.pool].push_back(std::move(w));
   }
 }
 
@@ -153,12 +160,12 @@
          j.spec.first_at + std::int64_t{occurrence} * j.spec.interval_ms;
 }
 
-void dispatcher::impl::PlanJob(const workflow::job& j) {
+void dispatcher::impl::PlanJob(const workflow::job& j, outlook view) {
   const workflow::queue& q = log.State().QueueOf(j);
   for (std::uint32_t k = 0; k < j.Occurrences() && IsDue(j, k); ++k) {
     for (std::uint32_t s = 0; s < j.spec.steps.size(); ++s) {
       if (j.left[j.StepAt(k, s)] == 0 || !j.IsStepReady(k, s)) continue;
-      PlanStep(j, q, k, s);
+      PlanStep(j, view, q, k, s);
     }
   }
 }
@@ -184,7 +191,7 @@
   return w;
 }
 
-void dispatcher::impl::PlanStep(const workflow::job& j,
+void dispatcher::impl::PlanStep(const workflow::job& j, outlook view,
                                 const workflow::queue& q,
                                 std::uint32_t occurrence, std::uint32_t step) {
   const workflow::step& s = j.spec.steps[step];
@@ -192,42 +199,82 @@
   if (waiting.indexes.empty()) return;
   if (s.gang && waiting.indexes.size() != s.count) return;
   const step_key key{j.spec.id, occurrence, step};
-  eligibility_view* const view = q.eligibility ? &eligible[key] : nullptr;
-  std::vector<placing_option> options = OptionsFor(s, q, waiting, view);
+  eligibility_view* const known = q.eligibility ? &eligible[key] : nullptr;
+  std::vector<placing_option> options = OptionsFor(s, q, waiting, known);
   const core::resources need = NeedOf(s);
   std::vector<planned_run> chosen;
-  std::vector<placing_option*> reserved;
   workflow::task_id id{j.spec.id, occurrence, step, 0};
   for (const std::uint32_t index : waiting.indexes) {
     placing_option* const best = BestOption(options, s, true);
     if (best == nullptr) break;
     best->where->room = best->where->room - need;
     --best->most;
-    reserved.push_back(best);
     id.index = index;
     const std::uint32_t last =
         s.gang ? waiting.last_run : j.tasks[*j.TaskAt(id)].last_run;
     chosen.push_back({best->where->a, {id, last + 1}, best->ticket});
   }
   const bool all = chosen.size() == waiting.indexes.size();
+  const bool on_time = view == outlook::kOnTime;
   if (!all && s.gang) {
-    // The workers that it takes keep what comes free for it.
-    for (std::size_t n = chosen.size(); n < waiting.indexes.size(); ++n) {
-      placing_option* const best = BestOption(options, s, false);
-      if (best == nullptr) break;
-      best->where->room = best->where->room - need;
-      --best->most;
-    }
+    std::optional<std::int32_t> preempts;
+    if (on_time) preempts = q.priority;
+    KeepRoom(options, s, waiting.indexes.size() - chosen.size(), preempts);
     chosen.clear();
   }
-  if (!all && view != nullptr) Inquire(q, key, s, waiting, *view);
+  if (!all && known != nullptr) {
+    Inquire(q, key, s, waiting, s.gang && on_time, *known);
+  }
   for (planned_run& p : chosen) {
-    p.where->runs[p.run] = {need, clock.Now()};
+    p.where->runs[p.run] = {.need = need,
+                            .followed_from = clock.Now(),
+                            .priority = q.priority,
+                            .resumable = s.checkpointing};
     places[p.run] = p.where;
     planned.push_back(std::move(p));
   }
 }
 
+/// Keeps room for the tasks of a gang that can't start now, on the workers that
+/// it will take: what comes free there goes to no job of a lower rank.
+/// @param preempts priority of the gang's queue if it may stop resumable tasks
+/// of less urgent ones.
+void dispatcher::impl::KeepRoom(std::vector<placing_option>& options,
+                                const workflow::step& s, std::size_t tasks,
+                                std::optional<std::int32_t> preempts) {
+  const core::resources need = NeedOf(s);
+  for (std::size_t n = 0; n < tasks; ++n) {
+    placing_option* const best = BestOption(options, s, false);
+    if (best == nullptr) return;
+    best->where->room = best->where->room - need;
+    --best->most;
+    if (preempts) Preempt(*best->where, *preempts);
+  }
+}
+
+/// Stops resumable runs of less urgent queues until what is kept on the worker
+/// fits, if that can be reached.
+void dispatcher::impl::Preempt(usable_worker& w, std::int32_t priority) {
+  const core::resources none;
+  std::vector<std::pair<workflow::run_id, core::resources>> victims;
+  core::resources room = w.room + w.leaving;
+  for (const auto& [run, r] : w.a->runs) {
+    if (room.Holds(none)) break;
+    if (r.stopping || !r.resumable || !r.settled_at) continue;
+    if (r.priority <= priority) continue;
+    victims.emplace_back(run, r.need);
+    room = room + r.need;
+  }
+  if (!room.Holds(none)) return;
+  for (const auto& [run, need] : victims) {
+    w.leaving = w.leaving + need;
+    spdlog::info("run_preempted job={} step={} index={} worker={}",
+                 run.task.job, run.task.step, run.task.index,
+                 w.a->about.key.id.v);
+    Spawn(StopRun(w.a, run));
+  }
+}
+
 /// @return the workers that may run tasks of the step, whatever their room.
 std::vector<placing_option> dispatcher::impl::OptionsFor(
     const workflow::step& s, const workflow::queue& q,
@@ -264,11 +311,14 @@
   for (placing_option& o : options) {
     if (o.most == 0 || !o.where->a->about.capacity.Holds(need)) continue;
     if (now && (!o.has_ticket || !o.where->room.Holds(need))) continue;
-    const std::int64_t room = o.where->room.cpu_milli;
+    const auto room_of = [now](const placing_option& x) {
+      const std::int64_t leaving = now ? 0 : x.where->leaving.cpu_milli;
+      return x.where->room.cpu_milli + leaving;
+    };
     const bool better =
         best == nullptr || (o.near && !best->near) ||
-        (o.near == best->near && (now ? room < best->where->room.cpu_milli
-                                      : room > best->where->room.cpu_milli));
+        (o.near == best->near &&
+         (now ? room_of(o) < room_of(*best) : room_of(o) > room_of(*best)));
     if (better) best = &o;
   }
   return best;
--- /dev/null
+++ b/src/workflow/state_test.cpp
@@ -0,0 +1,257 @@
+#include "mangoplank/workflow/state.h"
+
+#include <gtest/gtest.h>
+
+#include "mangoplank/wire/codec.h"
+
+namespace mangoplank::workflow {
+namespace {
+
+worker_key Key(const std::string& id, core::wall_time_ms born) {
+  return {{id}, born};
+}
+
+worker MakeWorker(const std::string& id, core::wall_time_ms born = 1) {
+  worker w;
+  w.key = Key(id, born);
+  w.address = {"127.0.0.1", 80};
+  w.pool = "pool";
+  w.capacity = {8'000, 8'000, 0};
+  return w;
+}
+
+queue MakeQueue(const std::string& prefix = "/q/") {
+  queue q;
+  q.name = "q" + prefix;
+  q.host = "host";
+  q.path_prefix = prefix;
+  q.timeout_ms = 1'000;
+  q.pool = "pool";
+  q.max_attempts = 2;
+  return q;
+}
+
+job_spec MakeJob(std::vector<step> steps) {
+  job_spec spec;
+  spec.id = "j";
+  spec.steps = std::move(steps);
+  return spec;
+}
+
+run_id RunOf(std::uint32_t step, std::uint32_t index, std::uint32_t number) {
+  return {{"j", 0, step, index}, number};
+}
+
+/// State with two workers, a catalog and the job "j".
+state MakeState(std::vector<step> steps) {
+  state s;
+  catalog c;
+  c.version = 3;
+  c.queues = {MakeQueue(), MakeQueue("/q/long/")};
+  c.pools = {{"pool", false, false}};
+  s.Apply(catalog_declared{c});
+  s.Apply(worker_announced{MakeWorker("w1")});
+  s.Apply(worker_announced{MakeWorker("w2")});
+  s.Apply(job_accepted{MakeJob(std::move(steps)), MakeQueue(), 5});
+  return s;
+}
+
+const task& TaskOf(const state& s, const run_id& r) {
+  const job* const j = s.FindJob(r.task.job);
+  return j->tasks[*j->TaskAt(r.task)];
+}
+
+// Guards against an older declaration that arrives late and takes force.
+TEST(WorkflowStateTest, OnlyAHigherVersionTakesForce) {
+  state s = MakeState({step{}});
+  catalog older;
+  older.version = 2;
+  s.Apply(catalog_declared{older});
+  EXPECT_EQ(s.Catalog().version, 3u);
+  catalog same;
+  same.version = 3;
+  s.Apply(catalog_declared{same});
+  EXPECT_EQ(s.Catalog().queues.size(), 2u);
+}
+
+// Guards against a request that goes to the queue of a shorter prefix.
+TEST(WorkflowStateTest, TheLongestPrefixSelectsTheQueue) {
+  const state s = MakeState({step{}});
+  EXPECT_EQ(s.Route("host", "/q/x")->path_prefix, "/q/");
+  EXPECT_EQ(s.Route("host", "/q/long/x")->path_prefix, "/q/long/");
+  EXPECT_EQ(s.Route("other", "/q/x"), nullptr);
+}
+
+// Guards against a resend that starts a job over.
+TEST(WorkflowStateTest, AResendOfAJobChangesNothing) {
+  state s = MakeState({step{}});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  const state before = s;
+  s.Apply(job_accepted{MakeJob({step{}}), MakeQueue(), 9});
+  EXPECT_EQ(s, before);
+}
+
+// Guards against two runs of one task.
+TEST(WorkflowStateTest, AnAssignedTaskIsNotAssignedAgain) {
+  state s = MakeState({step{}});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  s.Apply(run_assigned{RunOf(0, 0, 2), Key("w2", 1)});
+  EXPECT_EQ(TaskOf(s, RunOf(0, 0, 1)).where, Key("w1", 1));
+  EXPECT_TRUE(s.IsAssigned(RunOf(0, 0, 1)));
+  EXPECT_FALSE(s.IsAssigned(RunOf(0, 0, 2)));
+}
+
+// Guards against a run on a worker that is gone, or in another life.
+TEST(WorkflowStateTest, OnlyAKnownLifeOfAWorkerGetsRuns) {
+  state s = MakeState({step{}});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 2)});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w3", 1)});
+  EXPECT_EQ(TaskOf(s, RunOf(0, 0, 1)).phase, task_phase::kWaiting);
+}
+
+// Guards against an end of an earlier run that counts for the present one.
+TEST(WorkflowStateTest, AnEndOfAnotherRunChangesNothing) {
+  state s = MakeState({step{}});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kStopped, "half"});
+  s.Apply(run_assigned{RunOf(0, 0, 2), Key("w2", 1)});
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kDone, ""});
+  EXPECT_TRUE(s.IsAssigned(RunOf(0, 0, 2)));
+  EXPECT_EQ(TaskOf(s, RunOf(0, 0, 2)).checkpoint, "half");
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kRunning);
+}
+
+// Guards against steps that start before those they depend on, and against a
+// job that is shown as succeeded too early.
+TEST(WorkflowStateTest, StepsFollowTheirDependencies) {
+  step second;
+  second.depends_on = {0};
+  state s = MakeState({step{}, second});
+  EXPECT_FALSE(s.FindJob("j")->IsStepReady(0, 1));
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kDone, ""});
+  EXPECT_TRUE(s.FindJob("j")->IsStepReady(0, 1));
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kRunning);
+  s.Apply(run_assigned{RunOf(1, 0, 1), Key("w1", 1)});
+  s.Apply(run_ended{RunOf(1, 0, 1), run_end::kDone, ""});
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kSucceeded);
+}
+
+// Guards against a job that fails before its attempts are used up, or never.
+TEST(WorkflowStateTest, OnlyFailedRunsCountAsAttempts) {
+  state s = MakeState({step{}});
+  const run_end ends[] = {run_end::kStopped, run_end::kLost, run_end::kFailed,
+                          run_end::kNotStarted};
+  std::uint32_t number = 0;
+  for (const run_end how : ends) {
+    s.Apply(run_assigned{RunOf(0, 0, ++number), Key("w1", 1)});
+    s.Apply(run_ended{RunOf(0, 0, number), how, ""});
+    EXPECT_EQ(s.FindJob("j")->phase, job_phase::kRunning);
+  }
+  s.Apply(run_assigned{RunOf(0, 0, ++number), Key("w1", 1)});
+  s.Apply(run_ended{RunOf(0, 0, number), run_end::kFailed, ""});
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kFailed);
+}
+
+// Guards against gangs whose members succeed one by one, or whose failures are
+// counted by member.
+TEST(WorkflowStateTest, AGangSucceedsAndFailsAsOne) {
+  step gang;
+  gang.count = 2;
+  gang.gang = true;
+  state s = MakeState({gang});
+  for (std::uint32_t run = 1; run <= 2; ++run) {
+    s.Apply(run_assigned{RunOf(0, 0, run), Key("w1", 1)});
+    s.Apply(run_assigned{RunOf(0, 1, run), Key("w2", 1)});
+    if (run == 2) break;
+    s.Apply(run_ended{RunOf(0, 0, run), run_end::kFailed, ""});
+    s.Apply(run_ended{RunOf(0, 1, run), run_end::kBroken, ""});
+    EXPECT_EQ(s.FindJob("j")->phase, job_phase::kRunning);
+  }
+  s.Apply(run_ended{RunOf(0, 1, 2), run_end::kDone, ""});
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kSucceeded);
+  EXPECT_FALSE(s.IsAssigned(RunOf(0, 0, 2)));
+}
+
+// Guards against a cancelled job that gets new runs.
+TEST(WorkflowStateTest, ACancelledJobGetsNoRuns) {
+  state s = MakeState({step{}});
+  s.Apply(job_cancelled{"j"});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kCancelled);
+  EXPECT_FALSE(s.IsAssigned(RunOf(0, 0, 1)));
+}
+
+// Guards against a late report of an earlier life that replaces the present
+// one, and against runs that are given up although an order may still reach the
+// new life.
+TEST(WorkflowStateTest, ANewLifeKeepsRunsAssignedUntilTheLeaderEndsThem) {
+  state s = MakeState({step{}});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  s.Apply(worker_announced{MakeWorker("w1", 7)});
+  s.Apply(worker_announced{MakeWorker("w1", 1)});
+  EXPECT_EQ(s.Workers().at({"w1"}).key.born, 7);
+  EXPECT_TRUE(s.IsAssigned(RunOf(0, 0, 1)));
+  s.Apply(worker_removed{Key("w1", 7)});
+  EXPECT_FALSE(s.IsAssigned(RunOf(0, 0, 1)));
+}
+
+// Guards against records that are dropped while a run may still go on.
+TEST(WorkflowStateTest, OnlyEndedJobsWithoutRunsAreForgotten) {
+  state s = MakeState({step{}});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  s.Apply(jobs_forgotten{{"j"}});
+  s.Apply(job_cancelled{"j"});
+  s.Apply(jobs_forgotten{{"j"}});
+  ASSERT_NE(s.FindJob("j"), nullptr);
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kStopped, ""});
+  s.Apply(jobs_forgotten{{"j"}});
+  EXPECT_EQ(s.FindJob("j"), nullptr);
+}
+
+// Guards against fields that a snapshot or an entry of the log leaves out.
+TEST(WorkflowStateTest, ImagesAndEventsSurviveTheirEncoding) {
+  step all;
+  all.count = 2;
+  all.need = {1, 2, 3};
+  all.estimate_ms = 4;
+  all.gang = all.same_rack = all.checkpointing = true;
+  all.required_label = "a";
+  all.preferred_rack = "r";
+  all.max_per_worker = 5;
+  step second;
+  second.depends_on = {0};
+  second.long_running = second.filler = true;
+  state s = MakeState({all, second});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  const auto image = core::Capture(
+      [&] { return wire::DecodeWorkflowImage(wire::Encode(s.Image())); });
+  ASSERT_TRUE(image);
+  EXPECT_EQ(state::FromImage(*image), s);
+  const std::vector<event> events = {
+      catalog_declared{s.Catalog()},
+      job_accepted{s.FindJob("j")->spec, MakeQueue(), 8},
+      job_cancelled{"j"},
+      run_assigned{RunOf(0, 1, 2), Key("w1", 1)},
+      run_ended{RunOf(0, 1, 2), run_end::kLapsed, "c"},
+      worker_announced{MakeWorker("w9")},
+      worker_removed{Key("w1", 1)},
+      jobs_forgotten{{"a", "b"}}};
+  const auto read = core::Capture(
+      [&] { return wire::DecodeWorkflowEvents(wire::Encode(events)); });
+  ASSERT_TRUE(read);
+  EXPECT_EQ(*read, events);
+}
+
+// Guards against bytes that bring the process down.
+TEST(WorkflowStateTest, MalformedBytesAreAFailure) {
+  const std::string bytes(64, 'x');
+  EXPECT_FALSE(
+      core::Capture([&] { return wire::DecodeWorkflowEvents(bytes); }));
+  EXPECT_FALSE(core::Capture([&] { return wire::DecodeWorkflowImage(bytes); }));
+  EXPECT_FALSE(
+      core::Capture([&] { return wire::DecodeWorkflowMessage(bytes); }));
+}
+
+}  // namespace
+}  // namespace mangoplank::workflow
