Leases end while a worker is silent; looks are counted rather than timed

Cause: DispatcherTest.WaitsForTheLeaseOfASilentWorker: each unanswered look offered a new lease, so that the lease of a worker that was cut off never ended and its tasks were never started elsewhere. A run was taken for missing by comparing times, which are equal on a coarse clock. Change: no lease is offered after a look without an answer until one is answered; such a worker gets no tasks; a run is missing if a look that was sent after its confirmation does not list it.

--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -76,13 +76,13 @@
 awaitable<void> dispatcher::impl::Watch(std::shared_ptr<agent> a) {
   const auto self = shared_from_this();
   while (!stopped && !a->gone) {
-    const bool idle =
-        a->synced && a->runs.empty() && a->told_ends == a->recorded_ends;
+    const bool idle = a->synced && !a->unanswered && a->runs.empty() &&
+                      a->told_ends == a->recorded_ends;
     if (idle) {
       co_await a->wake.Wait();
       continue;
     }
-    const bool waits = a->synced && !a->runs.empty();
+    const bool waits = a->synced && !a->unanswered && !a->runs.empty();
     const bool answered =
         co_await Look(a, waits ? kLookWait : core::milliseconds(0));
     if (stopped || a->gone) co_return;
@@ -101,16 +101,20 @@
 awaitable<bool> dispatcher::impl::Look(std::shared_ptr<agent> a,
                                        core::milliseconds wait) {
   look_order o{term, a->recorded_ends, std::nullopt, wait};
-  if (!a->runs.empty()) o.lease_until_ms = LeaseUntil(*a);
-  const core::time_point sent = clock.Now();
+  // A look without an answer may have been carried out. No more leases follow
+  // it, so that the last one ends while the worker is silent.
+  if (!a->runs.empty() && !a->unanswered) o.lease_until_ms = LeaseUntil(*a);
+  const std::uint64_t look = ++a->looks_sent;
   const std::uint64_t told = o.recorded_ends;
   const worker_target to = TargetOf(*a);
   auto result = co_await workers.Look(to, o, wait + kOrderTimeout);
   if (stopped || a->gone) co_return false;
   if (auto* const r = std::get_if<worker_report>(&result)) {
     a->told_ends = std::max(a->told_ends, told);
-    co_return co_await OnReport(a, sent, std::move(*r));
+    a->unanswered = false;
+    co_return co_await OnReport(a, look, std::move(*r));
   }
+  a->unanswered = true;
   if (std::holds_alternative<other_life>(result)) {
     std::string reason = "another life answers at its address";
     co_await RemoveWorker(a, std::move(reason));
@@ -121,7 +125,7 @@
 }
 
 awaitable<bool> dispatcher::impl::OnReport(std::shared_ptr<agent> a,
-                                           core::time_point sent,
+                                           std::uint64_t look,
                                            worker_report r) {
   ReadClock(*a, r.clock_ms);
   std::vector<workflow::event> events;
@@ -142,16 +146,16 @@
       if (places.contains(run.run)) continue;
       spdlog::warn("run_unexpected run={} worker={}", Name(run.run),
                    a->about.key.id.v);
-      a->runs[run.run].settled_at = clock.Now();
+      a->runs[run.run].settled_after = a->looks_sent;
       places[run.run] = a;
       Spawn(StopRun(a, run.run));
       continue;
     }
     it->second.percent = run.percent;
     it->second.checkpoint = run.checkpoint;
-    if (!it->second.settled_at) it->second.settled_at = sent;
+    if (!it->second.settled_after) it->second.settled_after = look;
   }
-  for (workflow::event& e : MissingRuns(*a, sent, r)) {
+  for (workflow::event& e : MissingRuns(*a, look, r)) {
     events.push_back(std::move(e));
   }
   // Runs that nobody has recorded are dropped once they are not listed.
@@ -160,8 +164,8 @@
     const bool listed =
         std::any_of(r.running.begin(), r.running.end(),
                     [&](const running_run& x) { return x.run == entry.first; });
-    const bool drop = !known && !listed && entry.second.settled_at &&
-                      *entry.second.settled_at < sent;
+    const bool drop = !known && !listed && entry.second.settled_after &&
+                      *entry.second.settled_after < look;
     if (drop) places.erase(entry.first);
     return drop;
   });
@@ -180,16 +184,15 @@
 
 /// @return an event for each run that should be there and is not.
 std::vector<workflow::event> dispatcher::impl::MissingRuns(
-    const agent& a, core::time_point sent, const worker_report& r) const {
+    const agent& a, std::uint64_t look, const worker_report& r) const {
   std::vector<workflow::event> events;
   if (r.ended.size() >= kMaxListedEnds) return events;
   std::set<workflow::run_id> listed;
   for (const running_run& x : r.running) listed.insert(x.run);
   for (const ended_run& x : r.ended) listed.insert(x.run);
   for (const auto& [run, f] : a.runs) {
-    if (!f.settled_at || *f.settled_at >= sent || listed.contains(run)) {
-      continue;
-    }
+    const bool known = f.settled_after && *f.settled_after < look;
+    if (!known || listed.contains(run)) continue;
     if (!log.State().IsAssigned(run)) continue;
     spdlog::info("run_missing run={} worker={}", Name(run), a.about.key.id.v);
     events.emplace_back(
@@ -220,7 +223,7 @@
   const auto* const done = std::get_if<order_done>(&result);
   if (done != nullptr && !IsOtherClock(*a, done->clock_ms)) {
     ReadClock(*a, done->clock_ms);
-    it->second.settled_at = clock.Now();
+    it->second.settled_after = a->looks_sent;
     spdlog::info("run_started run={} worker={}", Name(p.run),
                  a->about.key.id.v);
     co_return;
@@ -230,7 +233,7 @@
                  a->about.key.id.v, static_cast<int>(refused->why));
     if (refused->why == refusal::kOldRun) {
       // The run was there before; the next look tells what became of it.
-      it->second.settled_at = clock.Now();
+      it->second.settled_after = a->looks_sent;
       co_return;
     }
     if (refused->why == refusal::kUnhealthy ||
@@ -258,7 +261,7 @@
   co_await Look(a, core::milliseconds(0));
   if (stopped || a->gone) co_return;
   const auto it = a->runs.find(run);
-  if (it == a->runs.end() || it->second.settled_at) co_return;
+  if (it == a->runs.end() || it->second.settled_after) co_return;
   co_await StopRun(a, run);
 }
 
@@ -284,7 +287,7 @@
         std::holds_alternative<order_refused>(result)) {
       it = a->runs.find(run);
       if (it == a->runs.end()) co_return;
-      it->second.settled_at = clock.Now();
+      it->second.settled_after = a->looks_sent;
       a->wake.NotifyAll();
       co_await Look(a, core::milliseconds(0));
       co_return;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -76,7 +76,7 @@
         if (a != agents.end()) {
           a->second->runs[run] = {.need = NeedOf(s),
                                   .followed_from = clock.Now(),
-                                  .settled_at = began,
+                                  .settled_after = 0,
                                   .priority = log.State().QueueOf(j).priority,
                                   .resumable = s.checkpointing};
           places[run] = a->second;
@@ -126,7 +126,7 @@
                                   const workflow::run_id& run,
                                   const followed_run& r) {
   if (!log.State().IsAssigned(run)) return;
-  if (r.settled_at) {
+  if (r.settled_after) {
     Spawn(EndRun(run, workflow::run_end::kLost));
     return;
   }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -17,10 +17,10 @@
 struct followed_run {
   core::resources need;
   core::time_point followed_from;
-  /// The worker has confirmed the start, or it was recorded by an earlier
-  /// leader. From then on a look that does not list the run shows that it is
-  /// not there.
-  std::optional<core::time_point> settled_at;
+  /// Set once the worker has confirmed the start or a stop, or if an earlier
+  /// leader recorded the run: the looks that were sent before. A later look
+  /// that does not list the run shows that it is not there.
+  std::optional<std::uint64_t> settled_after;
   bool stopping = false;
   /// Of the job's queue.
   std::int32_t priority = 0;
@@ -46,6 +46,9 @@
   bool synced = false;
   std::uint64_t recorded_ends = 0;
   std::uint64_t told_ends = 0;
+  std::uint64_t looks_sent = 0;
+  /// The last look had no answer.
+  bool unanswered = false;
   /// The worker's clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_at;
@@ -151,10 +154,9 @@
   // agent.cpp: orders to one worker and what it reports.
   core::awaitable<void> Watch(std::shared_ptr<agent> a);
   core::awaitable<bool> Look(std::shared_ptr<agent> a, core::milliseconds wait);
-  core::awaitable<bool> OnReport(std::shared_ptr<agent> a,
-                                 core::time_point sent, worker_report r);
-  std::vector<workflow::event> MissingRuns(const agent& a,
-                                           core::time_point sent,
+  core::awaitable<bool> OnReport(std::shared_ptr<agent> a, std::uint64_t look,
+                                 worker_report r);
+  std::vector<workflow::event> MissingRuns(const agent& a, std::uint64_t look,
                                            const worker_report& r) const;
   core::awaitable<void> StartRun(planned_run p);
   core::awaitable<void> Settle(std::shared_ptr<agent> a, workflow::run_id run);
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -220,9 +220,10 @@
   ASSERT_EQ(workers_.starts.size(), 1u);
   workers_.silent.insert({"w1"});
   const std::int64_t lease_end = workers_.places[{"w1"}].lease_until_ms;
-  AddWorker("w2");
+  const workflow::worker_key w2 = AddWorker("w2");
   while (workers_.starts.size() == 1 &&
          workers_.ClockMs() < lease_end + 5'000) {
+    dispatcher_->OnHeard(w2, workers_.ClockMs());
     RunFor(milliseconds(50));
   }
   ASSERT_EQ(workers_.starts.size(), 2u);
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -141,8 +141,8 @@
   usable.clear();
   const core::time_point now = clock.Now();
   for (const auto& [id, a] : agents) {
-    const bool works = a->synced && a->clock_ms && !a->about.draining &&
-                       now >= a->avoid_until &&
+    const bool works = a->synced && !a->unanswered && a->clock_ms &&
+                       !a->about.draining && now >= a->avoid_until &&
                        now < a->heard + settings.worker_silence;
     if (!works) continue;
     usable_worker w{a, Free(*a), {}};
@@ -260,7 +260,7 @@
   core::resources room = w.room + w.leaving;
   for (const auto& [run, r] : w.a->runs) {
     if (room.Holds(none)) break;
-    if (r.stopping || !r.resumable || !r.settled_at) continue;
+    if (r.stopping || !r.resumable || !r.settled_after) continue;
     if (r.priority <= priority) continue;
     victims.emplace_back(run, r.need);
     room = room + r.need;
