--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "mangoplank/dispatch/ports.h"
+#include "mangoplank/metrics/registry.h"
 
 namespace mangoplank::dispatch {
 
@@ -30,7 +31,8 @@
  public:
   dispatcher(dispatcher_settings settings, core::term term,
              boost::asio::any_io_executor executor, core::clock& clock,
-             journal& log, worker_port& workers, eligibility_port& eligibility);
+             journal& log, worker_port& workers, eligibility_port& eligibility,
+             metrics::registry& registry);
   ~dispatcher();
 
   void Start();
--- a/include/mangoplank/dispatch/service.h
+++ b/include/mangoplank/dispatch/service.h
@@ -25,7 +25,8 @@
   /// All references must outlive the service.
   service(service_settings settings, boost::asio::any_io_executor executor,
           core::clock& clock, workflow::machine& machine, consensus::node& node,
-          worker_port& workers, eligibility_port& eligibility);
+          worker_port& workers, eligibility_port& eligibility,
+          metrics::registry& registry);
   ~service() override;
 
   /// Starts to look after the members.
--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -224,8 +224,7 @@
   if (done != nullptr && !IsOtherClock(*a, done->clock_ms)) {
     ReadClock(*a, done->clock_ms);
     it->second.settled_after = a->looks_sent;
-    spdlog::info("run_started run={} worker={}", Name(p.run),
-                 a->about.key.id.v);
+    NoteStart(p.run, *a);
     co_return;
   }
   if (const auto* const refused = std::get_if<order_refused>(&result)) {
@@ -248,12 +247,25 @@
     co_await RemoveWorker(a, std::move(reason));
     co_return;
   }
+  metered.orders_unanswered.Add();
   spdlog::info("run_unconfirmed run={} worker={}", Name(p.run),
                a->about.key.id.v);
   a->avoid_until = clock.Now() + kAvoidTime;
   co_await Settle(a, p.run);
 }
 
+void dispatcher::impl::NoteStart(const workflow::run_id& run, const agent& a) {
+  spdlog::info("run_started run={} worker={} born={}", Name(run),
+               a.about.key.id.v, a.about.key.born);
+  metered.starts.Add();
+  const workflow::job* const j = log.State().FindJob(run.task.job);
+  const bool is_first = run.number == 1 && run.task.step == 0 &&
+                        run.task.index == 0 && run.task.occurrence == 0;
+  if (j == nullptr || !is_first || j->spec.repeat_count > 0) return;
+  const auto waited = clock.WallNow() - j->accepted_at;
+  metered.first_start.Add(static_cast<double>(waited) / 1000);
+}
+
 /// Finds out whether a start without an answer was carried out. If not, the
 /// run is stopped, so that a late start is refused.
 awaitable<void> dispatcher::impl::Settle(std::shared_ptr<agent> a,
@@ -310,6 +322,7 @@
 awaitable<void> dispatcher::impl::RemoveWorker(std::shared_ptr<agent> a,
                                                std::string reason) {
   if (a->gone) co_return;
+  metered.workers_removed.Add();
   spdlog::warn("worker_removed worker={} born={} reason=\"{}\" runs={}",
                a->about.key.id.v, a->about.key.born, reason, a->runs.size());
   std::vector<workflow::event> events;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -22,7 +22,8 @@
 
 dispatcher::impl::impl(dispatcher_settings s, core::term t,
                        asio::any_io_executor e, core::clock& c, journal& l,
-                       worker_port& w, eligibility_port& p)
+                       worker_port& w, eligibility_port& p,
+                       metrics::registry& r)
     : settings(s),
       term(t),
       executor(std::move(e)),
@@ -30,6 +31,7 @@
       log(l),
       workers(w),
       eligibility(p),
+      metered(r),
       began(c.Now()),
       work(executor, c) {}
 
@@ -183,6 +185,7 @@
     const auto it = places.find(run);
     if (it == places.end() || log.State().IsAssigned(run)) continue;
     auto& runs = it->second->runs;
+    metered.Ended(e.how).Add();
     if (e.how == workflow::run_end::kDone) NoteRunTime(run, runs[run]);
     runs.erase(run);
     places.erase(it);
@@ -235,9 +238,10 @@
 dispatcher::dispatcher(dispatcher_settings settings, core::term term,
                        asio::any_io_executor executor, core::clock& clock,
                        journal& log, worker_port& workers,
-                       eligibility_port& eligibility)
+                       eligibility_port& eligibility,
+                       metrics::registry& registry)
     : impl_(std::make_shared<impl>(settings, term, std::move(executor), clock,
-                                   log, workers, eligibility)) {}
+                                   log, workers, eligibility, registry)) {}
 
 dispatcher::~dispatcher() { Stop(); }
 
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <vector>
 
+#include "dispatch/meters.h"
 #include "mangoplank/dispatch/dispatcher.h"
 
 namespace mangoplank::dispatch {
@@ -133,7 +134,8 @@
 
 struct dispatcher::impl : std::enable_shared_from_this<dispatcher::impl> {
   impl(dispatcher_settings s, core::term t, boost::asio::any_io_executor e,
-       core::clock& c, journal& l, worker_port& w, eligibility_port& p);
+       core::clock& c, journal& l, worker_port& w, eligibility_port& p,
+       metrics::registry& r);
 
   // dispatcher.cpp: start, end and changes of the state.
   void Start();
@@ -159,6 +161,7 @@
   std::vector<workflow::event> MissingRuns(const agent& a, std::uint64_t look,
                                            const worker_report& r) const;
   core::awaitable<void> StartRun(planned_run p);
+  void NoteStart(const workflow::run_id& run, const agent& a);
   core::awaitable<void> Settle(std::shared_ptr<agent> a, workflow::run_id run);
   core::awaitable<void> StopRun(std::shared_ptr<agent> a, workflow::run_id run);
   core::awaitable<void> EndRun(workflow::run_id run, workflow::run_end how);
@@ -210,6 +213,7 @@
   journal& log;
   worker_port& workers;
   eligibility_port& eligibility;
+  meters metered;
   const core::time_point began;
   bool stopped = false;
 
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -40,9 +40,9 @@
     c.queues = {queue_, urgent_};
     c.pools = {{"pool", false, false}};
     log_.Apply(workflow::catalog_declared{c});
-    dispatcher_ = std::make_unique<dispatcher>(dispatcher_settings{}, kTerm,
-                                               context_.get_executor(), clock_,
-                                               log_, workers_, eligibility_);
+    dispatcher_ = std::make_unique<dispatcher>(
+        dispatcher_settings{}, kTerm, context_.get_executor(), clock_, log_,
+        workers_, eligibility_, registry_);
     log_.observer = dispatcher_.get();
     dispatcher_->Start();
     RunFor(milliseconds(50));
@@ -104,6 +104,7 @@
   fake_journal log_;
   fake_workers workers_;
   fake_eligibility eligibility_;
+  metrics::registry registry_;
   workflow::queue queue_;
   workflow::queue urgent_;
   std::unique_ptr<dispatcher> dispatcher_;
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -104,6 +104,7 @@
   const auto self = shared_from_this();
   const core::milliseconds cost = AskCost(q, asked.size());
   const workflow::task_id step{key.job, key.occurrence, key.step, 0};
+  metered.inquiries.Add();
   const auto rows = co_await eligibility.Ask(step, asked, cost, q.priority);
   if (stopped) co_return;
   const auto it = eligible.find(key);
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -132,6 +132,7 @@
   for (const job_rank& rank : ranks) {
     PlanJob(*log.State().FindJob(rank.id), rank.view);
   }
+  metered.active_jobs.Set(static_cast<double>(active.size()));
   if (planned.empty()) return;
   Spawn(Commit(std::exchange(planned, {})));
 }
@@ -268,6 +269,7 @@
   if (!room.Holds(none)) return;
   for (const auto& [run, need] : victims) {
     w.leaving = w.leaving + need;
+    metered.preempted.Add();
     spdlog::info("run_preempted job={} step={} index={} worker={}",
                  run.task.job, run.task.step, run.task.index,
                  w.a->about.key.id.v);
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -65,7 +65,7 @@
 struct service::impl : std::enable_shared_from_this<service::impl> {
   impl(service_settings s, asio::any_io_executor e, core::clock& c,
        workflow::machine& m, consensus::node& n, worker_port& w,
-       eligibility_port& p, service& o)
+       eligibility_port& p, metrics::registry& r, service& o)
       : settings(s),
         executor(std::move(e)),
         clock(c),
@@ -73,6 +73,7 @@
         node(n),
         workers(w),
         eligibility(p),
+        registry(r),
         owner(o),
         moved(executor, c) {}
 
@@ -99,6 +100,7 @@
   consensus::node& node;
   worker_port& workers;
   eligibility_port& eligibility;
+  metrics::registry& registry;
   service& owner;
   bool stopped = false;
   /// Set while this process leads.
@@ -299,10 +301,10 @@
 service::service(service_settings settings, asio::any_io_executor executor,
                  core::clock& clock, workflow::machine& machine,
                  consensus::node& node, worker_port& workers,
-                 eligibility_port& eligibility)
+                 eligibility_port& eligibility, metrics::registry& registry)
     : impl_(std::make_shared<impl>(settings, std::move(executor), clock,
                                    machine, node, workers, eligibility,
-                                   *this)) {}
+                                   registry, *this)) {}
 
 service::~service() { impl_->stopped = true; }
 
@@ -342,7 +344,7 @@
   if (leads) {
     impl_->current = std::make_unique<dispatcher>(
         impl_->settings.dispatcher, t, impl_->executor, impl_->clock, *this,
-        impl_->workers, impl_->eligibility);
+        impl_->workers, impl_->eligibility, impl_->registry);
     impl_->current->Start();
   }
   impl_->moved.NotifyAll();
--- a/src/process/program.cpp
+++ b/src/process/program.cpp
@@ -25,7 +25,7 @@
 }
 
 void SetUpLogs(const settings::values& v) {
-  auto logger = spdlog::stderr_logger_st("mangoplank");
+  auto logger = spdlog::stdout_logger_st("mangoplank");
   logger->set_level(spdlog::level::from_str(v.Text("log", "level")));
   logger->flush_on(spdlog::level::warn);
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %l %v");
