Rounds look only at jobs that have tasks without a place

Cause: on the grown site a round walked over every task of every accepted job and over all 350 workers for each step; the leader used 0.29 of its 0.4 cores. Change: jobs without waiting tasks are left out until something of theirs ends; options come from a step's tickets; a look waits up to 2 s.

--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Longest wait of a look, so that the lease is renewed several times over.
-constexpr core::milliseconds kLookWait{1'000};
+constexpr core::milliseconds kLookWait{2'000};
 /// Time for an answer beyond the wait.
 constexpr core::milliseconds kOrderTimeout{800};
 /// Pause after an order without an answer.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -60,6 +60,7 @@
 void dispatcher::impl::TrackJob(const workflow::job& j) {
   if (!IsFinal(j.phase)) {
     active.insert(j.spec.id);
+    waiting_jobs.insert(j.spec.id);
   } else {
     ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
   }
@@ -106,7 +107,10 @@
     }
     a->gone = true;
     a->wake.NotifyAll();
-    for (const auto& [run, r] : a->runs) places.erase(run);
+    for (const auto& [run, r] : a->runs) {
+      places.erase(run);
+      waiting_jobs.insert(run.task.job);
+    }
     ended.push_back(id);
   }
   for (const core::worker_id& id : ended) {
@@ -177,6 +181,7 @@
   // One end of a gang ends its other members' tasks too.
   const workflow::job* const j = log.State().FindJob(e.run.task.job);
   if (j == nullptr) return;
+  waiting_jobs.insert(e.run.task.job);
   const workflow::step& s = j->spec.steps[e.run.task.step];
   workflow::run_id run = e.run;
   const std::uint32_t first = s.gang ? 0 : run.task.index;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <unordered_map>
 #include <vector>
 
 #include "dispatch/meters.h"
@@ -101,6 +102,8 @@
 /// was given to jobs of a higher rank, or is kept for them.
 struct usable_worker {
   std::shared_ptr<agent> a;
+  /// Room at the start of the round.
+  core::resources free;
   core::resources room;
   /// What runs take that are being stopped.
   core::resources leaving;
@@ -179,8 +182,8 @@
   job_rank RankOf(const workflow::job& j) const;
   double ExpectedMs(const workflow::queue& q, const workflow::step& s) const;
   void NoteRunTime(const workflow::run_id& run, const followed_run& r);
-  void PlanJob(const workflow::job& j, outlook view);
-  void PlanStep(const workflow::job& j, outlook view, const workflow::queue& q,
+  bool PlanJob(const workflow::job& j, outlook view);
+  bool PlanStep(const workflow::job& j, outlook view, const workflow::queue& q,
                 std::uint32_t occurrence, std::uint32_t step);
   void KeepRoom(std::vector<placing_option>& options, const workflow::step& s,
                 std::size_t tasks, std::optional<std::int32_t> preempts);
@@ -192,6 +195,9 @@
                                          const workflow::queue& q,
                                          const waiting_tasks& waiting,
                                          const eligibility_view* view);
+  void AddOption(std::vector<placing_option>& options, usable_worker& w,
+                 const workflow::step& s, const waiting_tasks& waiting,
+                 const ticket* t) const;
   placing_option* BestOption(std::vector<placing_option>& options,
                              const workflow::step& s, bool now);
   core::awaitable<void> Commit(std::vector<planned_run> runs);
@@ -222,8 +228,11 @@
   std::map<workflow::run_id, std::shared_ptr<agent>> places;
   /// Jobs that are not final.
   std::set<std::string> active;
+  /// Those of them that may have tasks without a place.
+  std::set<std::string> waiting_jobs;
   /// Workers of the present round, by pool.
   std::map<std::string, std::vector<usable_worker>> usable;
+  std::unordered_map<core::worker_id, usable_worker*> usable_by_id;
   std::map<step_key, eligibility_view> eligible;
   /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
   std::map<std::string, double> mean_run_ms;
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -79,7 +79,7 @@
       continue;
     }
     // The planner has taken the room that this step was given off already.
-    core::resources left = Free(*w.a);
+    core::resources left = w.free;
     if (!left.Holds(need) && !keep_valid) continue;
     while (left.Holds(need)) {
       left = left - need;
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -123,14 +123,17 @@
 void dispatcher::impl::PlanRound() {
   BeginRound();
   std::vector<job_rank> ranks;
-  ranks.reserve(active.size());
-  for (const std::string& id : active) {
+  ranks.reserve(waiting_jobs.size());
+  std::erase_if(waiting_jobs, [&](const std::string& id) {
     const workflow::job* const j = log.State().FindJob(id);
-    if (j != nullptr) ranks.push_back(RankOf(*j));
-  }
+    const bool is_over = j == nullptr || IsFinal(j->phase);
+    if (!is_over) ranks.push_back(RankOf(*j));
+    return is_over;
+  });
   std::sort(ranks.begin(), ranks.end());
   for (const job_rank& rank : ranks) {
-    PlanJob(*log.State().FindJob(rank.id), rank.view);
+    const bool waits = PlanJob(*log.State().FindJob(rank.id), rank.view);
+    if (!waits) waiting_jobs.erase(rank.id);
   }
   metered.active_jobs.Set(static_cast<double>(active.size()));
   if (planned.empty()) return;
@@ -140,18 +143,25 @@
 /// Collects the workers that may take tasks, with their room.
 void dispatcher::impl::BeginRound() {
   usable.clear();
+  usable_by_id.clear();
   const core::time_point now = clock.Now();
   for (const auto& [id, a] : agents) {
     const bool works = a->synced && !a->unanswered && a->clock_ms &&
                        !a->about.draining && now >= a->avoid_until &&
                        now < a->heard + settings.worker_silence;
     if (!works) continue;
-    usable_worker w{a, Free(*a), {}};
+    const core::resources free = Free(*a);
+    usable_worker w{a, free, free, {}};
     for (const auto& [run, r] : a->runs) {
       if (r.stopping) w.leaving = w.leaving + r.need;
     }
     usable[a->about.pool].push_back(std::move(w));
   }
+  for (auto& [pool, workers_of_pool] : usable) {
+    for (usable_worker& w : workers_of_pool) {
+      usable_by_id[w.a->about.key.id] = &w;
+    }
+  }
 }
 
 bool dispatcher::impl::IsDue(const workflow::job& j,
@@ -161,14 +171,19 @@
          j.spec.first_at + std::int64_t{occurrence} * j.spec.interval_ms;
 }
 
-void dispatcher::impl::PlanJob(const workflow::job& j, outlook view) {
+/// @return whether the job may have tasks without a place after this, or
+/// occurrences that are not due.
+bool dispatcher::impl::PlanJob(const workflow::job& j, outlook view) {
   const workflow::queue& q = log.State().QueueOf(j);
+  bool waits = j.spec.repeat_count > 0;
   for (std::uint32_t k = 0; k < j.Occurrences() && IsDue(j, k); ++k) {
     for (std::uint32_t s = 0; s < j.spec.steps.size(); ++s) {
       if (j.left[j.StepAt(k, s)] == 0 || !j.IsStepReady(k, s)) continue;
-      PlanStep(j, view, q, k, s);
+      const bool step_waits = PlanStep(j, view, q, k, s);
+      waits = waits || step_waits;
     }
   }
+  return waits;
 }
 
 /// @return the tasks of a step that wait for a place, and how many of the
@@ -192,13 +207,15 @@
   return w;
 }
 
-void dispatcher::impl::PlanStep(const workflow::job& j, outlook view,
+/// @return whether tasks of the step still wait.
+bool dispatcher::impl::PlanStep(const workflow::job& j, outlook view,
                                 const workflow::queue& q,
                                 std::uint32_t occurrence, std::uint32_t step) {
   const workflow::step& s = j.spec.steps[step];
   const waiting_tasks waiting = WaitingTasks(j, occurrence, step);
-  if (waiting.indexes.empty()) return;
-  if (s.gang && waiting.indexes.size() != s.count) return;
+  if (waiting.indexes.empty()) return false;
+  // Members of the gang's last run have not ended yet.
+  if (s.gang && waiting.indexes.size() != s.count) return true;
   const step_key key{j.spec.id, occurrence, step};
   eligibility_view* const known = q.eligibility ? &eligible[key] : nullptr;
   std::vector<placing_option> options = OptionsFor(s, q, waiting, known);
@@ -234,6 +251,7 @@
     places[p.run] = p.where;
     planned.push_back(std::move(p));
   }
+  return !all;
 }
 
 /// Keeps room for the tasks of a gang that can't start now, on the workers that
@@ -282,26 +300,39 @@
     const workflow::step& s, const workflow::queue& q,
     const waiting_tasks& waiting, const eligibility_view* view) {
   std::vector<placing_option> options;
-  for (usable_worker& w : usable[q.pool]) {
-    const workflow::worker& about = w.a->about;
-    if (!HasLabel(about, s.required_label)) continue;
-    placing_option o{&w, {}, s.count, HasLabel(about, s.preferred_rack), true};
-    if (view != nullptr) {
-      const auto t = view->tickets.find(about.key.id);
-      if (t == view->tickets.end()) continue;
-      o.ticket = t->second.text;
-      o.has_ticket = IsValid(t->second);
-    }
-    if (s.max_per_worker > 0) {
-      const auto used = waiting.placed.find(about.key.id);
-      const std::uint32_t n = used == waiting.placed.end() ? 0 : used->second;
-      o.most = s.max_per_worker > n ? s.max_per_worker - n : 0;
+  if (view == nullptr) {
+    for (usable_worker& w : usable[q.pool]) {
+      AddOption(options, w, s, waiting, nullptr);
     }
-    if (o.most > 0) options.push_back(std::move(o));
+    return options;
+  }
+  for (const auto& [id, t] : view->tickets) {
+    const auto w = usable_by_id.find(id);
+    if (w == usable_by_id.end()) continue;
+    if (w->second->a->about.pool != q.pool) continue;
+    AddOption(options, *w->second, s, waiting, &t);
   }
   return options;
 }
 
+/// @param t the worker's ticket, or null if none is needed.
+void dispatcher::impl::AddOption(std::vector<placing_option>& options,
+                                 usable_worker& w, const workflow::step& s,
+                                 const waiting_tasks& waiting,
+                                 const ticket* t) const {
+  const workflow::worker& about = w.a->about;
+  if (!HasLabel(about, s.required_label)) return;
+  placing_option o{&w, {}, s.count, false, t == nullptr || IsValid(*t)};
+  o.near = HasLabel(about, s.preferred_rack);
+  if (t != nullptr) o.ticket = t->text;
+  if (s.max_per_worker > 0) {
+    const auto used = waiting.placed.find(about.key.id);
+    const std::uint32_t n = used == waiting.placed.end() ? 0 : used->second;
+    o.most = s.max_per_worker > n ? s.max_per_worker - n : 0;
+  }
+  if (o.most > 0) options.push_back(std::move(o));
+}
+
 /// @param now whether the task is to start now. Then the tightest worker that
 /// has room is taken, so that large tasks find some too; else the one that has
 /// the most.
@@ -342,6 +373,7 @@
     // Refused by the state, for instance because the job was cancelled.
     p.where->runs.erase(p.run);
     places.erase(p.run);
+    waiting_jobs.insert(p.run.task.job);
   }
   if (!recorded) {
     spdlog::warn("placement_not_recorded runs={} error={}", runs.size(),
