Acknowledgements ride on later looks; lines for those on call

Cause: a worker without runs got a look of its own for each end; logs gave numbers for ends and did not say when a job ended.

--- a/include/mangoplank/dispatch/ports.h
+++ b/include/mangoplank/dispatch/ports.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -72,6 +73,14 @@
   kUnhealthy,
 };
 
+/// @return the word for logs.
+constexpr std::string_view Name(refusal why) {
+  constexpr std::string_view kNames[] = {"outdated_term", "old_run", "too_late",
+                                         "no_room",       "ticket",  "invalid",
+                                         "unhealthy"};
+  return kNames[static_cast<std::size_t>(why)];
+}
+
 struct order_done {
   /// The worker's clock, in milliseconds.
   std::int64_t clock_ms = 0;
--- a/include/mangoplank/workflow/types.h
+++ b/include/mangoplank/workflow/types.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -183,6 +184,19 @@
   kCancelled
 };
 
+/// @return the word for logs and metrics.
+constexpr std::string_view Name(run_end how) {
+  constexpr std::string_view kNames[] = {"done",        "failed",     "stopped",
+                                         "lapsed",      "broken",     "alone",
+                                         "not_started", "worker_lost"};
+  return kNames[static_cast<std::size_t>(how)];
+}
+constexpr std::string_view Name(job_phase p) {
+  constexpr std::string_view kNames[] = {"queued", "running", "succeeded",
+                                         "failed", "cancelled"};
+  return kNames[static_cast<std::size_t>(p)];
+}
+
 inline bool IsFinal(job_phase p) { return p >= job_phase::kSucceeded; }
 
 }  // namespace mangoplank::workflow
--- a/scripts/check_operations.sh
+++ b/scripts/check_operations.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the command blocks marked sh of docs/operations.md in order against a
+# Runs the command blocks marked sh of docs/OPERATIONS.md in order against a
 # cell on loopback, in one shell. Each line of a block is one command. Comment
 # lines under it say what is checked:
 #   # exits: N           exit code, else 0
@@ -10,7 +10,7 @@
 # output of block N is kept there in a file N.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-PAGE=$PWD/docs/operations.md
+PAGE=$PWD/docs/OPERATIONS.md
 BIN=$(realpath "${BUILD_DIR:-build}")
 # Below the range from which the system takes ports for outgoing connections;
 # one of those in use keeps a process from listening.
@@ -49,7 +49,7 @@
 }
 
 fail() {
-  printf 'docs/operations.md:%s: %s\n  command: %s\n  output:\n' "$1" "$2" "$command" >&2
+  printf 'docs/OPERATIONS.md:%s: %s\n  command: %s\n  output:\n' "$1" "$2" "$command" >&2
   sed 's/^/    /' "$CELL_DIR/.out" >&2
   tail -n 5 "$CELL_DIR"/*.log >&2
   [ -z "${OUTPUT_DIR:-}" ] || cp "$CELL_DIR"/*.log "$OUTPUT_DIR"
@@ -115,5 +115,5 @@
     block=$((block + 1))
   fi
 done 3<"$PAGE"
-[ "$inside" = no ] && [ "$count" -gt 0 ] || { echo "docs/operations.md: no commands, or an open block" >&2; exit 1; }
-echo "$count commands in $block blocks did what docs/operations.md says, in $SECONDS s"
+[ "$inside" = no ] && [ "$count" -gt 0 ] || { echo "docs/OPERATIONS.md: no commands, or an open block" >&2; exit 1; }
+echo "$count commands in $block blocks did what docs/OPERATIONS.md says, in $SECONDS s"
--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -15,6 +15,9 @@
 
 /// Longest wait of a look, so that the lease is renewed several times over.
 constexpr core::milliseconds kLookWait{2'000};
+/// Ends of a worker without runs are acknowledged after this time, or with the
+/// next look that is due.
+constexpr core::milliseconds kAckDelay{200};
 /// Time for an answer beyond the wait.
 constexpr core::milliseconds kOrderTimeout{800};
 /// Pause after an order without an answer.
@@ -82,6 +85,10 @@
       co_await a->wake.Wait();
       continue;
     }
+    if (a->synced && !a->unanswered && a->runs.empty()) {
+      co_await a->wake.WaitUntil(clock.Now() + kAckDelay);
+      if (stopped || a->gone) co_return;
+    }
     const bool waits = a->synced && !a->unanswered && !a->runs.empty();
     const bool answered =
         co_await Look(a, waits ? kLookWait : core::milliseconds(0));
@@ -136,7 +143,7 @@
     if (place == places.end() || place->second != a) continue;
     if (!log.State().IsAssigned(e.run)) continue;
     spdlog::info("run_ended run={} worker={} how={}", Name(e.run),
-                 a->about.key.id.v, static_cast<int>(e.how));
+                 a->about.key.id.v, Name(e.how));
     events.emplace_back(workflow::run_ended{e.run, e.how, e.checkpoint});
   }
   for (const running_run& run : r.running) {
@@ -229,7 +236,7 @@
   }
   if (const auto* const refused = std::get_if<order_refused>(&result)) {
     spdlog::info("run_refused run={} worker={} why={}", Name(p.run),
-                 a->about.key.id.v, static_cast<int>(refused->why));
+                 a->about.key.id.v, Name(refused->why));
     if (refused->why == refusal::kOldRun) {
       // The run was there before; the next look tells what became of it.
       it->second.settled_after = a->looks_sent;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -199,6 +199,8 @@
 
 void dispatcher::impl::OnJobFinal(const workflow::job& j) {
   if (active.erase(j.spec.id) == 0) return;
+  spdlog::info("job_ended job={} phase={} queue={} age_ms={}", j.spec.id,
+               Name(j.phase), j.q.name, clock.WallNow() - j.accepted_at);
   ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
   const auto first = eligible.lower_bound({j.spec.id, 0, 0});
   auto last = first;
--- a/src/dispatch/meters.h
+++ b/src/dispatch/meters.h
@@ -46,14 +46,12 @@
 
  private:
   static std::array<metrics::counter*, 8> Ends(metrics::registry& r) {
-    static constexpr const char* kNames[] = {"done",   "failed",     "stopped",
-                                             "lapsed", "broken",     "alone",
-                                             "none",   "worker_lost"};
     std::array<metrics::counter*, 8> out{};
     for (std::size_t i = 0; i < out.size(); ++i) {
-      out.at(i) =
-          &r.Counter("mangoplank_workflow_runs_ended_total",
-                     "Ended runs by how they ended", {{"how", kNames[i]}});
+      out.at(i) = &r.Counter(
+          "mangoplank_workflow_runs_ended_total",
+          "Ended runs by how they ended",
+          {{"how", std::string(Name(static_cast<workflow::run_end>(i)))}});
     }
     return out;
   }
