Eligibility is asked while a job is being recorded

Change: the leader asks for steps without dependencies at once; the answer is dropped if the job is not recorded. DispatcherTest.AsksWhileAJobIsBeingRecorded.

--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -39,6 +39,11 @@
   /// Ends all tasks; no order is sent from then on.
   void Stop();
 
+  /// Asks about the first steps of a job that is being recorded, so that the
+  /// answer is there when it can start.
+  void Prepare(const workflow::job_spec& spec, const workflow::queue& q);
+  /// The job was not recorded after all.
+  void Abandon(const std::string& job);
   /// Hears of each applied event.
   void OnEvent(const workflow::event& e);
   /// A worker's own report came in.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -202,10 +202,7 @@
   spdlog::info("job_ended job={} phase={} queue={} age_ms={}", j.spec.id,
                Name(j.phase), j.q.name, clock.WallNow() - j.accepted_at);
   ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
-  const auto first = eligible.lower_bound({j.spec.id, 0, 0});
-  auto last = first;
-  while (last != eligible.end() && last->first.job == j.spec.id) ++last;
-  eligible.erase(first, last);
+  ForgetEligibility(j.spec.id);
   for (auto it = places.lower_bound({{j.spec.id, 0, 0, 0}, 0});
        it != places.end() && it->first.task.job == j.spec.id; ++it) {
     Spawn(StopRun(it->second, it->first));
@@ -254,6 +251,13 @@
 
 void dispatcher::Start() { impl_->Start(); }
 void dispatcher::Stop() { impl_->Stop(); }
+void dispatcher::Prepare(const workflow::job_spec& spec,
+                         const workflow::queue& q) {
+  impl_->Prepare(spec, q);
+}
+void dispatcher::Abandon(const std::string& job) {
+  impl_->ForgetEligibility(job);
+}
 void dispatcher::OnEvent(const workflow::event& e) { impl_->OnEvent(e); }
 void dispatcher::OnHeard(const workflow::worker_key& key,
                          std::int64_t clock_ms) {
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -204,6 +204,8 @@
   core::resources Free(const agent& a) const;
 
   // inquiry.cpp: calls to the eligibility service.
+  void Prepare(const workflow::job_spec& spec, const workflow::queue& q);
+  void ForgetEligibility(const std::string& job);
   bool IsValid(const ticket& t) const;
   core::milliseconds AskCost(const workflow::queue& q, std::size_t n) const;
   void Inquire(const workflow::queue& q, const step_key& key,
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -307,6 +307,32 @@
   EXPECT_EQ(workers_.starts[0].ticket, "ticket-w2");
 }
 
+// Guards against a wait for the eligibility service that begins only once the
+// job is recorded, and against answers kept for a job that never was.
+TEST_F(DispatcherTest, AsksWhileAJobIsBeingRecorded) {
+  AddWorker("w1");
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 1'500};
+  eligibility_.eligible = {{"w1"}};
+  Lead();
+  workflow::job_spec spec;
+  spec.id = "j";
+  spec.steps = {Step(2, 1'000)};
+  dispatcher_->Prepare(spec, queue_);
+  RunFor(milliseconds(50));
+  EXPECT_EQ(eligibility_.asked.size(), 1u);
+  Submit("j", spec.steps, queue_);
+  RunFor(milliseconds(50));
+  EXPECT_EQ(workers_.starts.size(), 2u);
+  EXPECT_EQ(eligibility_.asked.size(), 1u);
+  spec.id = "k";
+  dispatcher_->Prepare(spec, queue_);
+  RunFor(milliseconds(50));
+  dispatcher_->Abandon("k");
+  Submit("k", spec.steps, queue_);
+  RunFor(milliseconds(50));
+  EXPECT_EQ(eligibility_.asked.size(), 3u);
+}
+
 // Guards against a gang of which a part starts.
 TEST_F(DispatcherTest, AGangStartsAsAWhole) {
   AddWorker("w1");
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 #include "dispatch/dispatcher_impl.h"
 
@@ -52,6 +53,27 @@
                 q.eligibility->per_worker_ms * static_cast<double>(n))));
 }
 
+void dispatcher::impl::Prepare(const workflow::job_spec& spec,
+                               const workflow::queue& q) {
+  if (!q.eligibility || spec.repeat_count > 0) return;
+  for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
+    const workflow::step& s = spec.steps[i];
+    if (!s.depends_on.empty()) continue;
+    waiting_tasks all;
+    all.indexes.resize(s.count);
+    std::iota(all.indexes.begin(), all.indexes.end(), 0U);
+    const step_key key{spec.id, 0, i};
+    Inquire(q, key, s, all, false, eligible[key]);
+  }
+}
+
+void dispatcher::impl::ForgetEligibility(const std::string& job) {
+  const auto first = eligible.lower_bound({job, 0, 0});
+  auto last = first;
+  while (last != eligible.end() && last->first.job == job) ++last;
+  eligible.erase(first, last);
+}
+
 /// Asks about a step whose tasks wait. The first call names all workers, so
 /// that it is known who may run the step; later ones those with room whose
 /// tickets have expired.
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -144,9 +144,11 @@
   if (auto invalid = Check(r.spec)) co_return std::move(*invalid);
   if (s.FindJob(r.spec.id) != nullptr) co_return workflow::accepted{};
   const std::string id = r.spec.id;
+  if (current) current->Prepare(r.spec, *q);
   workflow::event e =
       workflow::job_accepted{std::move(r.spec), *q, clock.WallNow()};
   auto answer = co_await RecordOne(std::move(e));
+  if (current && s.FindJob(id) == nullptr) current->Abandon(id);
   spdlog::info("job_submitted job={} recorded={}", id,
                std::holds_alternative<workflow::accepted>(answer));
   co_return answer;
