Wide gangs ask about more workers; steps that need nothing don't stall a round

Cause: one call names at most 100 workers, of which a third may be eligible; a gang wider than what they hold renewed their tickets for ever. A step without any need made the count of fitting tasks endless, found while reading. Change: the count is a division; a gang whose eligible workers hold less than twice its tasks asks about others first; work is stopped only where the gang has a ticket.

--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -377,6 +377,36 @@
   EXPECT_EQ(workers_.starts.back().checkpoint, "saved");
 }
 
+// Guards against a round that never ends for a step that needs nothing.
+TEST_F(DispatcherTest, StepsThatNeedNothingAreStarted) {
+  AddWorker("w1");
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 1'500};
+  eligibility_.eligible = {{"w1"}};
+  Lead();
+  workflow::step nothing;
+  nothing.count = 3;
+  Submit("j", {nothing}, queue_);
+  RunFor(milliseconds(200));
+  EXPECT_EQ(workers_.starts.size(), 3u);
+}
+
+// Guards against a gang that is wider than the workers of one call can hold and
+// never learns of more.
+TEST_F(DispatcherTest, AWideGangAsksAboutMoreWorkers) {
+  for (int i = 0; i < 120; ++i) {
+    const std::string id = "w" + std::to_string(i);
+    AddWorker(id);
+    eligibility_.eligible.insert({id});
+  }
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 1'500};
+  Lead();
+  workflow::step gang = Step(110, 8'000);
+  gang.gang = true;
+  Submit("j", {gang}, queue_);
+  RunFor(seconds(1));
+  EXPECT_EQ(workers_.starts.size(), 110u);
+}
+
 // Guards against work that is stopped for a job that is not more urgent.
 TEST_F(DispatcherTest, NothingIsStoppedForTheSamePriority) {
   AddWorker("w1");
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -22,6 +22,22 @@
 /// Workers whose tickets are renewed for each task of a gang that waits for
 /// room.
 constexpr std::size_t kRenewedPerTask = 2;
+/// Eligible workers of a gang should hold this multiple of its tasks when they
+/// are empty; with less it would wait for nearly all of them.
+constexpr std::size_t kCapacityFactor = 2;
+
+/// @return how many tasks of this need fit into the room, at most `most`.
+std::size_t Fits(const core::resources& room, const core::resources& need,
+                 std::size_t most) {
+  if (!room.Holds(need)) return 0;
+  auto n = static_cast<std::int64_t>(most);
+  if (need.cpu_milli > 0) n = std::min(n, room.cpu_milli / need.cpu_milli);
+  if (need.memory_mib > 0) n = std::min(n, room.memory_mib / need.memory_mib);
+  if (need.accelerators > 0) {
+    n = std::min(n, room.accelerators / need.accelerators);
+  }
+  return static_cast<std::size_t>(n);
+}
 
 /// @return at most `most` of the workers, those with the most room.
 std::vector<core::worker_id> Roomiest(std::vector<usable_worker> workers,
@@ -87,7 +103,9 @@
   const core::resources need = NeedOf(s);
   std::vector<usable_worker> unknown;
   std::vector<usable_worker> renewed;
+  // Tasks that fit on workers known to be eligible: now, and on empty ones.
   std::size_t room = 0;
+  std::size_t capacity = 0;
   const core::time_point renew_at =
       clock.Now() + kTicketReserve +
       (keep_valid ? AskCost(q, waiting.indexes.size() * kRenewedPerTask)
@@ -100,17 +118,18 @@
       unknown.push_back(w);
       continue;
     }
-    // The planner has taken the room that this step was given off already.
-    core::resources left = w.free;
-    if (!left.Holds(need) && !keep_valid) continue;
-    while (left.Holds(need)) {
-      left = left - need;
-      ++room;
-    }
+    capacity += Fits(w.a->about.capacity, need, s.count);
+    const std::size_t fits = Fits(w.free, need, s.count);
+    room += fits;
+    if (fits == 0 && !keep_valid) continue;
     if (t->second.expires < renew_at) renewed.push_back(w);
   }
   const bool gang_fits = !s.gang || room >= waiting.indexes.size();
-  if (!renewed.empty() && (gang_fits || keep_valid)) {
+  // A wide gang needs more workers than the first call has found.
+  const bool too_few =
+      s.gang && capacity < waiting.indexes.size() * kCapacityFactor;
+  const bool ask_more = too_few && !unknown.empty();
+  if (!ask_more && !renewed.empty() && (gang_fits || keep_valid)) {
     const std::size_t wanted = waiting.indexes.size() * kRenewedPerTask;
     view.asking = true;
     Spawn(Ask(q, key, Roomiest(std::move(renewed), wanted)));
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -267,7 +267,8 @@
     if (best == nullptr) return;
     best->where->room = best->where->room - need;
     --best->most;
-    if (preempts) Preempt(*best->where, *preempts);
+    // Without a ticket the gang could not use the room at once.
+    if (preempts && best->has_ticket) Preempt(*best->where, *preempts);
   }
 }
 
