--- a/include/mangoplank/consensus/node.h
+++ b/include/mangoplank/consensus/node.h
@@ -74,8 +74,7 @@
   core::awaitable<core::outcome<core::revision>> Propose(std::string command);
   /// Waits until all that was committed when it was called is applied here.
   /// @return not_leader or unavailable if that can't be known.
-  core::awaitable<core::outcome<core::revision>> ReadBarrier(
-      read_check check);
+  core::awaitable<core::outcome<core::revision>> ReadBarrier(read_check check);
   /// Whether this process is surely the only leader now.
   bool HoldsLease() const;
   node_status Status() const;
--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -24,7 +24,7 @@
   echo 'Written by `scripts/check_docs.sh --write` from the output of `--document`. Settings are INI files;'
   echo '`--check-config` checks one without starting the process.'
   local name
-  for name in mangoplank-control mangoplank-entry; do
+  for name in mangoplank-control mangoplank-entry mangoplank-gateway mangoplank-controller; do
     printf '\n## %s\n\n' "$name"
     "$BIN/$name" --document
   done
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -140,8 +140,7 @@
   core::awaitable<void> Stop();
   core::awaitable<core::outcome<core::revision>> Propose(entry_kind k,
                                                          std::string data);
-  core::awaitable<core::outcome<core::revision>> ReadBarrier(
-      read_check check);
+  core::awaitable<core::outcome<core::revision>> ReadBarrier(read_check check);
   core::awaitable<core::failure> Stopped();
   node_status Status() const;
   core::awaitable<core::outcome<recovered>> OpenFolder();
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -141,8 +141,7 @@
 
 core::result<workflow::message> DecodeWorkflowMessage(
     std::string_view bytes, const core::failure& malformed) {
-  return DecodeAs<schema::WorkflowMessage, workflow::message>(bytes,
-                                                              malformed);
+  return DecodeAs<schema::WorkflowMessage, workflow::message>(bytes, malformed);
 }
 
 core::result<peer_hello> DecodePeerHello(std::string_view bytes,
