A refused stop does not settle a run; jobs whose starts were given up are queued

Read from the code: a stop that a worker refused as unhealthy counted as carried out, and a run that was carried out late took no room in the account. Change: only a carried out stop, or one of an old run, settles; an unexpected run takes the room of its step; jobs without a sign of a start count as queued. Tests: ARefusedStopDoesNotSettleARun, AJobWhoseStartsWereGivenUpIsQueued.

--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -34,6 +34,13 @@
                      r.task.step, r.task.index, r.number);
 }
 
+/// @return the need of a run's step; nothing if its job is not known.
+core::resources NeedIn(const workflow::state& s, const workflow::run_id& r) {
+  const workflow::job* const j = s.FindJob(r.task.job);
+  if (j == nullptr || !j->TaskAt(r.task)) return {};
+  return NeedOf(j->spec.steps[r.task.step]);
+}
+
 }  // namespace
 
 worker_target dispatcher::impl::TargetOf(const agent& a) const {
@@ -153,7 +160,8 @@
       if (places.contains(run.run)) continue;
       spdlog::warn("run_unexpected run={} worker={}", Name(run.run),
                    a->about.key.id.v);
-      a->runs[run.run].settled_after = a->looks_sent;
+      a->runs[run.run] = {.need = NeedIn(log.State(), run.run),
+                          .settled_after = a->looks_sent};
       places[run.run] = a;
       Spawn(StopRun(a, run.run));
       continue;
@@ -302,8 +310,11 @@
       co_await RemoveWorker(a, std::move(reason));
       co_return;
     }
-    if (std::holds_alternative<order_done>(result) ||
-        std::holds_alternative<order_refused>(result)) {
+    // Other refusals say that the worker did nothing: a late start would still
+    // be carried out there.
+    const auto* const refused = std::get_if<order_refused>(&result);
+    const bool is_old = refused != nullptr && refused->why == refusal::kOldRun;
+    if (std::holds_alternative<order_done>(result) || is_old) {
       it = a->runs.find(run);
       if (it == a->runs.end()) co_return;
       it->second.settled_after = a->looks_sent;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -15,6 +15,23 @@
 
 constexpr core::term kTerm = 4;
 
+/// Workers that refuse a number of stops, as they are not able to work.
+class refusing_workers : public fake_workers {
+ public:
+  using fake_workers::fake_workers;
+  int stop_refusals = 0;
+
+  core::awaitable<order_result> Stop(worker_target to, stop_order o,
+                                     core::milliseconds timeout) override {
+    if (stop_refusals > 0) {
+      --stop_refusals;
+      stops.push_back(o);
+      co_return order_refused{refusal::kUnhealthy};
+    }
+    co_return co_await fake_workers::Stop(to, o, timeout);
+  }
+};
+
 class DispatcherTest : public testing::Test {
  protected:
   DispatcherTest() : workers_(clock_) {
@@ -102,7 +119,7 @@
   boost::asio::io_context context_;
   core::fake_clock clock_;
   fake_journal log_;
-  fake_workers workers_;
+  refusing_workers workers_;
   fake_eligibility eligibility_;
   metrics::registry registry_;
   workflow::queue queue_;
@@ -195,6 +212,25 @@
   EXPECT_EQ(workers_.starts[1].run, RunOf("j", 0, 2));
 }
 
+// Guards against a task that starts elsewhere after a worker refused the stop:
+// it did nothing, and a start without an answer may still be carried out.
+TEST_F(DispatcherTest, ARefusedStopDoesNotSettleARun) {
+  AddWorker("w1");
+  AddWorker("w2");
+  Lead();
+  workers_.on_start = [&](const worker_target&,
+                          const start_order&) -> order_result {
+    return no_answer{};
+  };
+  workers_.stop_refusals = 2;
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(250));
+  EXPECT_EQ(workers_.starts.size(), 1u);
+  RunFor(seconds(1));
+  EXPECT_GE(workers_.stops.size(), 3u);
+  EXPECT_GE(workers_.starts.size(), 2u);
+}
+
 // Guards against a run that is stopped although only the answer to its start
 // was lost.
 TEST_F(DispatcherTest, ALostAnswerDoesNotStopTheRun) {
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -17,6 +17,17 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
+/// @return whether nothing shows that a task of the job has started. A start
+/// that was given up is followed by a run of a higher number.
+bool IsQueued(const job& j) {
+  if (IsFinal(j.phase)) return false;
+  return std::none_of(j.tasks.begin(), j.tasks.end(), [](const task& t) {
+    const bool first = t.phase == task_phase::kAssigned && t.last_run == 1;
+    return first || t.phase == task_phase::kDone || t.failures > 0 ||
+           !t.checkpoint.empty();
+  });
+}
+
 }  // namespace
 
 std::optional<std::size_t> job::TaskAt(const task_id& id) const {
@@ -203,8 +214,7 @@
 std::size_t state::CountQueued(const std::string& queue) const {
   return static_cast<std::size_t>(
       std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
-        return entry.second.q.name == queue &&
-               entry.second.phase == job_phase::kQueued;
+        return entry.second.q.name == queue && IsQueued(entry.second);
       }));
 }
 
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -196,6 +196,18 @@
   EXPECT_FALSE(s.IsAssigned(RunOf(0, 0, 1)));
 }
 
+// Guards against jobs that are missing from the count of a queue although all
+// their starts were given up (seen in a hunt of late orders, seed
+// 375614856216).
+TEST(WorkflowStateTest, AJobWhoseStartsWereGivenUpIsQueued) {
+  state s = MakeState({step{}});
+  EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  EXPECT_EQ(s.CountQueued(MakeQueue().name), 0u);
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kNotStarted, ""});
+  EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
+}
+
 // Guards against records that are dropped while a run may still go on.
 TEST(WorkflowStateTest, OnlyEndedJobsWithoutRunsAreForgotten) {
   state s = MakeState({step{}});
