Gangs that can't fit or are late keep no room

Cause: a gang that all its eligible workers together can't hold, or one that is late anyway, kept their room from every job of a lower rank for good. Change: room is kept only by gangs that are on time and whose workers hold them when empty; else what was set aside for them is given back. Test: DispatcherTest.AGangThatCanNeverFitKeepsNoRoom fails before (0 of 2 small tasks started), passes after.

--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -443,6 +443,21 @@
   EXPECT_EQ(workers_.starts.size(), 110u);
 }
 
+// Guards against a gang that all its workers together can't hold and that keeps
+// their room from all other jobs for good.
+TEST_F(DispatcherTest, AGangThatCanNeverFitKeepsNoRoom) {
+  AddWorker("w1");
+  Lead();
+  workflow::step gang = Step(3, 5'000);
+  gang.gang = true;
+  Submit("gang", {gang}, queue_);
+  RunFor(milliseconds(100));
+  Submit("small", {Step(2, 1'000)}, queue_);
+  RunFor(milliseconds(200));
+  EXPECT_EQ(CountStarts("gang"), 0u);
+  EXPECT_EQ(CountStarts("small"), 2u);
+}
+
 // Guards against work that is stopped for a job that is not more urgent.
 TEST_F(DispatcherTest, NothingIsStoppedForTheSamePriority) {
   AddWorker("w1");
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -31,6 +31,20 @@
          std::find(w.labels.begin(), w.labels.end(), label) != w.labels.end();
 }
 
+/// @return how many tasks of this need an empty worker holds.
+std::uint32_t FitsEmpty(const core::resources& capacity,
+                        const core::resources& need) {
+  std::int64_t n = INT32_MAX;
+  if (need.cpu_milli > 0) n = std::min(n, capacity.cpu_milli / need.cpu_milli);
+  if (need.memory_mib > 0) {
+    n = std::min(n, capacity.memory_mib / need.memory_mib);
+  }
+  if (need.accelerators > 0) {
+    n = std::min(n, capacity.accelerators / need.accelerators);
+  }
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(n, 0));
+}
+
 /// Longest chain of steps of one occurrence, in milliseconds.
 /// @param time of one step; 0 for those that count no more.
 template <class F>
@@ -221,12 +235,14 @@
   std::vector<placing_option> options = OptionsFor(s, q, waiting, known);
   const core::resources need = NeedOf(s);
   std::vector<planned_run> chosen;
+  std::vector<placing_option*> taken;
   workflow::task_id id{j.spec.id, occurrence, step, 0};
   for (const std::uint32_t index : waiting.indexes) {
     placing_option* const best = BestOption(options, s, true);
     if (best == nullptr) break;
     best->where->room = best->where->room - need;
     --best->most;
+    taken.push_back(best);
     id.index = index;
     const std::uint32_t last =
         s.gang ? waiting.last_run : j.tasks[*j.TaskAt(id)].last_run;
@@ -235,9 +251,18 @@
   const bool all = chosen.size() == waiting.indexes.size();
   const bool on_time = view == outlook::kOnTime;
   if (!all && s.gang) {
-    std::optional<std::int32_t> preempts;
-    if (on_time) preempts = q.priority;
-    KeepRoom(options, s, waiting.indexes.size() - chosen.size(), preempts);
+    // A gang that is late anyway, or that its workers can't hold even when they
+    // are empty, must not keep their room from others.
+    const std::size_t rest = waiting.indexes.size() - chosen.size();
+    std::size_t holds = 0;
+    for (const placing_option& o : options) holds += o.most;
+    if (on_time && holds >= rest) {
+      KeepRoom(options, s, rest, q.priority);
+    } else {
+      for (placing_option* const o : taken) {
+        o->where->room = o->where->room + need;
+      }
+    }
     chosen.clear();
   }
   if (!all && known != nullptr) {
@@ -331,6 +356,8 @@
     const std::uint32_t n = used == waiting.placed.end() ? 0 : used->second;
     o.most = s.max_per_worker > n ? s.max_per_worker - n : 0;
   }
+  const auto fits = FitsEmpty(about.capacity, NeedOf(s));
+  o.most = std::min(o.most, fits);
   if (o.most > 0) options.push_back(std::move(o));
 }
 
