A task is placed again after a late run of it is gone

A run that had been given up and was carried out late held the task's place; the job was left out of the rounds, and nothing put it back when that run was stopped. Change: it is put back when such a run is dropped. Test: DispatcherTest.ATaskIsPlacedAfterALateRunIsGone fails before, passes after.

--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -181,7 +181,10 @@
                     [&](const running_run& x) { return x.run == entry.first; });
     const bool drop = !known && !listed && entry.second.settled_after &&
                       *entry.second.settled_after < look;
-    if (drop) places.erase(entry.first);
+    if (drop) {
+      places.erase(entry.first);
+      waiting_jobs.insert(entry.first.task.job);
+    }
     return drop;
   });
   if (!events.empty()) {
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -443,6 +443,30 @@
   EXPECT_EQ(workers_.starts.size(), 110u);
 }
 
+// Guards against a task that is never placed again: while a run that was given
+// up and carried out late held its place, its job was left out of the rounds
+// (seen in a hunt on karamanlis-counts, mix, seed 777966546792).
+TEST_F(DispatcherTest, ATaskIsPlacedAfterALateRunIsGone) {
+  AddWorker("w1");
+  Lead();
+  Submit("other", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  workers_.on_start = [&](const worker_target& to,
+                          const start_order& o) -> order_result {
+    if (o.run.number == 1) return no_answer{};
+    workers_.places[to.key.id].running[o.run] = "";
+    return order_done{workers_.ClockMs()};
+  };
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(300));
+  workers_.places[{"w1"}].running[RunOf("j", 0, 1)] = "";
+  workers_.End({"w1"}, RunOf("other", 0, 1), run_end::kDone);
+  // The late run is still there for some rounds.
+  workers_.stop_refusals = 3;
+  RunFor(seconds(5));
+  EXPECT_TRUE(workers_.places[{"w1"}].running.contains(RunOf("j", 0, 2)));
+}
+
 // Guards against a gang that all its workers together can't hold and that keeps
 // their room from all other jobs for good.
 TEST_F(DispatcherTest, AGangThatCanNeverFitKeepsNoRoom) {
