Runs are followed by what is recorded; leases count from the confirmed lead

Change: Commit and OnReport go by the recorded worker of a run; a run that is listed is settled by all looks sent until then; runs are followed into the next life; LeaseUntil counts from the last confirmed heartbeat round, with the least reading of the clock; system_clock::Now is CLOCK_BOOTTIME.

--- a/include/mangoplank/consensus/node.h
+++ b/include/mangoplank/consensus/node.h
@@ -77,6 +77,9 @@
   core::awaitable<core::outcome<core::revision>> ReadBarrier(read_check check);
   /// Whether this process is surely the only leader now.
   bool HoldsLease() const;
+  /// @return the start of the last heartbeat round that a majority answered;
+  /// the start of time if this process does not lead.
+  core::time_point LeadConfirmedAt() const;
   node_status Status() const;
 
   /// Adds a member, changes its address, promotes or demotes it, or removes it;
--- a/include/mangoplank/dispatch/ports.h
+++ b/include/mangoplank/dispatch/ports.h
@@ -162,6 +162,9 @@
   virtual core::awaitable<core::outcome<void>> Record(
       std::vector<workflow::event> events) = 0;
   virtual const workflow::state& State() const = 0;
+  /// @return the latest time at which this process is known to have led. A
+  /// later leader begins after it.
+  virtual core::time_point LeadConfirmedAt() const = 0;
 };
 
 }  // namespace mangoplank::dispatch
--- a/include/mangoplank/dispatch/service.h
+++ b/include/mangoplank/dispatch/service.h
@@ -40,6 +40,7 @@
   core::awaitable<core::outcome<void>> Record(
       std::vector<workflow::event> events) override;
   const workflow::state& State() const override;
+  core::time_point LeadConfirmedAt() const override;
 
   void OnEvent(const workflow::event& e) override;
   void OnRestored() override;
--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -131,7 +131,9 @@
   /// @return the worker if this life of it is known, else null.
   const worker* FindWorker(const worker_key& key) const;
   /// @return whether the run is the assigned one of its task.
-  bool IsAssigned(const run_id& run) const;
+  bool IsAssigned(const run_id& run) const { return PlaceOf(run) != nullptr; }
+  /// @return the worker that the run is assigned to, or null.
+  const worker_key* PlaceOf(const run_id& run) const;
   /// @return jobs of a queue that no task of has been started.
   std::size_t CountQueued(const std::string& queue) const;
 
--- a/src/consensus/lease.cpp
+++ b/src/consensus/lease.cpp
@@ -60,6 +60,12 @@
   return l->answered_round > 0 && clock.Now() < l->answered_from + length;
 }
 
+core::time_point node::impl::LeadConfirmedAt() const {
+  const auto* l = std::get_if<leading>(&current_role);
+  const bool is_known = l != nullptr && l->answered_round > 0;
+  return is_known ? l->answered_from : core::time_point();
+}
+
 void node::impl::AdvanceCommit() {
   if (!Leads()) return;
   const core::revision majority =
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -50,6 +50,10 @@
 
 bool node::HoldsLease() const { return impl_->HoldsLease(); }
 
+core::time_point node::LeadConfirmedAt() const {
+  return impl_->LeadConfirmedAt();
+}
+
 node_status node::Status() const { return impl_->Status(); }
 
 core::awaitable<core::outcome<core::revision>> node::ChangeMember(member m,
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -166,6 +166,7 @@
   void BeginRound(leading& l);
   void OnRoundAnswered();
   bool HoldsLease() const;
+  core::time_point LeadConfirmedAt() const;
   void AdvanceCommit();
   void Commit(core::revision at);
 
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,5 +1,8 @@
 #include "mangoplank/core/clock.h"
 
+#include <time.h>
+
+#include <algorithm>
 #include <boost/asio/any_completion_handler.hpp>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
@@ -13,6 +16,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Longest wait of one timer; beyond any that is used.
+constexpr std::chrono::hours kLongestTimer{24 * 365};
+
+}  // namespace
+
 struct system_clock::impl {
   explicit impl(asio::any_io_executor executor) : e(std::move(executor)) {}
 
@@ -27,7 +37,10 @@
 system_clock::~system_clock() { impl_->timers.clear(); }
 
 time_point system_clock::Now() const {
-  return std::chrono::steady_clock::now();
+  timespec t{};
+  clock_gettime(CLOCK_BOOTTIME, &t);
+  return time_point(std::chrono::seconds(t.tv_sec) +
+                    std::chrono::nanoseconds(t.tv_nsec));
 }
 
 wall_time_ms system_clock::WallNow() const {
@@ -37,7 +50,8 @@
 
 clock::timer_id system_clock::CallAt(time_point at, std::function<void()> f) {
   const timer_id id = impl_->next_id++;
-  auto timer = std::make_unique<asio::steady_timer>(impl_->e, at);
+  const duration wait = std::min<duration>(at - Now(), kLongestTimer);
+  auto timer = std::make_unique<asio::steady_timer>(impl_->e, wait);
   timer->async_wait([weak = std::weak_ptr(impl_), id,
                      f = std::move(f)](boost::system::error_code ec) {
     const auto self = weak.lock();
--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -1,6 +1,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include "dispatch/dispatcher_impl.h"
@@ -61,25 +62,31 @@
 void dispatcher::impl::ReadClock(agent& a, std::int64_t clock_ms) {
   a.heard = clock.Now();
   // A report that was held up must not set the clock back.
-  if (const auto known = a.clock_ms) {
-    const auto since = std::chrono::duration_cast<core::milliseconds>(
-        clock.Now() - a.clock_at);
-    if (clock_ms < *known + since.count()) return;
-  }
+  if (a.clock_ms && clock_ms < LeastClock(a, clock.Now())) return;
   a.clock_ms = clock_ms;
   a.clock_at = clock.Now();
 }
 
-/// @return the end of a lease that begins now, on the worker's clock; no value
-/// while its clock is not known.
-std::optional<std::int64_t> dispatcher::impl::LeaseUntil(agent& a) {
-  if (!a.clock_ms) return std::nullopt;
+/// @return the least that the worker's clock, which is known, shows at a time.
+std::int64_t dispatcher::impl::LeastClock(const agent& a,
+                                          core::time_point at) const {
   const auto since =
-      std::chrono::duration_cast<core::milliseconds>(clock.Now() - a.clock_at);
+      std::chrono::duration<double, std::milli>(at - a.clock_at).count();
+  const double rate = 1 + (since < 0 ? 1 : -1) * settings.clock_drift;
+  return *a.clock_ms + static_cast<std::int64_t>(std::floor(since * rate));
+}
+
+/// @return the end of a lease on the worker's clock; no value while its clock
+/// is not known, or nothing shows that this process leads. The lease counts
+/// from the time that it surely led: a later leader begins after that, and
+/// waits for one lease.
+std::optional<std::int64_t> dispatcher::impl::LeaseUntil(agent& a) {
+  const core::time_point led_at = std::min(log.LeadConfirmedAt(), clock.Now());
+  if (!a.clock_ms || led_at + settings.lease < clock.Now()) return std::nullopt;
   const auto longest = std::chrono::duration_cast<core::duration>(
       settings.max_lease * (1 + settings.clock_drift));
   a.lease_end = std::max(a.lease_end, clock.Now() + longest);
-  return *a.clock_ms + since.count() + settings.lease.count();
+  return LeastClock(a, led_at) + settings.lease.count();
 }
 
 /// Follows a worker while it has runs, renews its lease and records ends.
@@ -120,13 +127,16 @@
   if (!a->runs.empty() && !a->unanswered) o.lease_until_ms = LeaseUntil(*a);
   const std::uint64_t look = ++a->looks_sent;
   const std::uint64_t told = o.recorded_ends;
+  const std::uint64_t reports_before = a->reports;
   const worker_target to = TargetOf(*a);
   auto result = co_await workers.Look(to, o, wait + kOrderTimeout);
   if (stopped || a->gone) co_return false;
   if (auto* const r = std::get_if<worker_report>(&result)) {
     a->told_ends = std::max(a->told_ends, told);
     a->unanswered = false;
-    co_return co_await OnReport(a, look, std::move(*r));
+    const bool overtaken = a->reports != reports_before;
+    ++a->reports;
+    co_return co_await OnReport(a, look, overtaken, std::move(*r));
   }
   a->unanswered = true;
   if (std::holds_alternative<other_life>(result)) {
@@ -138,17 +148,19 @@
   co_return false;
 }
 
+/// @param overtaken whether another report came since the look was sent: this
+/// one may list runs whose ends are recorded already.
 awaitable<bool> dispatcher::impl::OnReport(std::shared_ptr<agent> a,
-                                           std::uint64_t look,
+                                           std::uint64_t look, bool overtaken,
                                            worker_report r) {
   ReadClock(*a, r.clock_ms);
   std::vector<workflow::event> events;
   std::uint64_t last = a->recorded_ends;
   for (const ended_run& e : r.ended) {
     last = std::max(last, e.number);
-    const auto place = places.find(e.run);
-    if (place == places.end() || place->second != a) continue;
-    if (!log.State().IsAssigned(e.run)) continue;
+    // A start that was sent to an earlier life may have reached this one.
+    const workflow::worker_key* const at = log.State().PlaceOf(e.run);
+    if (at == nullptr || at->id != a->about.key.id) continue;
     spdlog::info("run_ended run={} worker={} how={}", Name(e.run),
                  a->about.key.id.v, Name(e.how));
     events.emplace_back(workflow::run_ended{e.run, e.how, e.checkpoint});
@@ -157,7 +169,7 @@
     const auto it = a->runs.find(run.run);
     if (it == a->runs.end()) {
       // Carried out late, after it was given up.
-      if (places.contains(run.run)) continue;
+      if (overtaken || places.contains(run.run)) continue;
       spdlog::warn("run_unexpected run={} worker={}", Name(run.run),
                    a->about.key.id.v);
       a->runs[run.run] = {.need = NeedIn(log.State(), run.run),
@@ -168,7 +180,8 @@
     }
     it->second.percent = run.percent;
     it->second.checkpoint = run.checkpoint;
-    if (!it->second.settled_after) it->second.settled_after = look;
+    // Looks that were sent before may have been answered earlier.
+    if (!it->second.settled_after) it->second.settled_after = a->looks_sent;
   }
   for (workflow::event& e : MissingRuns(*a, look, r)) {
     events.push_back(std::move(e));
@@ -223,7 +236,7 @@
   const auto self = shared_from_this();
   const auto a = p.where;
   const workflow::job* const j = log.State().FindJob(p.run.task.job);
-  if (j == nullptr || !log.State().IsAssigned(p.run) || a->gone) co_return;
+  if (j == nullptr || !IsAt(p.run, *a) || a->gone) co_return;
   if (IsFinal(j->phase)) {
     // Cancelled before any order was sent.
     co_await EndRun(p.run, workflow::run_end::kNotStarted);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -112,6 +112,7 @@
       waiting_jobs.insert(run.task.job);
     }
     ended.push_back(id);
+    ForgetEligibility(id);
   }
   for (const core::worker_id& id : ended) {
     const auto former = agents.extract(id).mapped();
@@ -126,20 +127,24 @@
   work.NotifyAll();
 }
 
-/// Ends a run of an earlier life of a worker. If its start was not confirmed,
-/// the order may still reach the new life, where it is stopped first.
+/// Follows a run of an earlier life of a worker in the present one. Its start
+/// may have reached the new life: a confirmed one before that was announced,
+/// which the first look shows; one without an answer may still do so, and is
+/// stopped.
 void dispatcher::impl::InheritRun(const core::worker_id& id,
                                   const workflow::run_id& run,
                                   const followed_run& r) {
   if (!log.State().IsAssigned(run)) return;
-  if (r.settled_after) {
-    Spawn(EndRun(run, workflow::run_end::kLost));
-    return;
-  }
   const auto& a = agents[id];
-  a->runs[run] = r;
-  a->runs[run].stopping = false;
+  followed_run& followed = a->runs[run];
+  followed = r;
+  followed.stopping = false;
   places[run] = a;
+  if (r.settled_after && !r.stopping) {
+    followed.settled_after = 0;
+    return;
+  }
+  followed.settled_after.reset();
   Spawn(StopRun(a, run));
 }
 
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -49,6 +49,7 @@
   std::uint64_t recorded_ends = 0;
   std::uint64_t told_ends = 0;
   std::uint64_t looks_sent = 0;
+  std::uint64_t reports = 0;
   /// The last look had no answer.
   bool unanswered = false;
   /// The worker's clock when it was last read.
@@ -160,7 +161,7 @@
   core::awaitable<void> Watch(std::shared_ptr<agent> a);
   core::awaitable<bool> Look(std::shared_ptr<agent> a, core::milliseconds wait);
   core::awaitable<bool> OnReport(std::shared_ptr<agent> a, std::uint64_t look,
-                                 worker_report r);
+                                 bool overtaken, worker_report r);
   std::vector<workflow::event> MissingRuns(const agent& a, std::uint64_t look,
                                            const worker_report& r) const;
   core::awaitable<void> StartRun(planned_run p);
@@ -173,6 +174,7 @@
                                      std::string reason);
   std::optional<std::int64_t> LeaseUntil(agent& a);
   void ReadClock(agent& a, std::int64_t clock_ms);
+  std::int64_t LeastClock(const agent& a, core::time_point at) const;
   bool IsOtherClock(const agent& a, std::int64_t clock_ms) const;
 
   // planner.cpp: which waiting task goes where.
@@ -202,10 +204,12 @@
                              const workflow::step& s, bool now);
   core::awaitable<void> Commit(std::vector<planned_run> runs);
   core::resources Free(const agent& a) const;
+  bool IsAt(const workflow::run_id& run, const agent& a) const;
 
   // inquiry.cpp: calls to the eligibility service.
   void Prepare(const workflow::job_spec& spec, const workflow::queue& q);
   void ForgetEligibility(const std::string& job);
+  void ForgetEligibility(const core::worker_id& worker);
   bool IsValid(const ticket& t) const;
   core::milliseconds AskCost(const workflow::queue& q, std::size_t n) const;
   void Inquire(const workflow::queue& q, const step_key& key,
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -30,11 +30,22 @@
     }
     co_return co_await fake_workers::Stop(to, o, timeout);
   }
+
+  /// Time that the answers of looks without a wait are on their way.
+  core::duration look_travel{0};
+
+  core::awaitable<look_result> Look(worker_target to, look_order o,
+                                    core::milliseconds timeout) override {
+    const bool is_held_up = o.wait.count() == 0 && look_travel.count() > 0;
+    auto r = co_await fake_workers::Look(to, o, timeout);
+    if (is_held_up) co_await core::SleepFor(clock, look_travel);
+    co_return r;
+  }
 };
 
 class DispatcherTest : public testing::Test {
  protected:
-  DispatcherTest() : workers_(clock_) {
+  DispatcherTest() : log_(clock_), workers_(clock_) {
     clock_.AdvanceTo(core::time_point(std::chrono::hours(1)));
     queue_.name = "q";
     queue_.host = "host";
@@ -247,6 +258,28 @@
   EXPECT_TRUE(workers_.stops.empty());
 }
 
+// Guards against a run that is taken for missing because an earlier look, whose
+// answer was overtaken, does not list it yet (seen in a hunt on mzpz-sieradz,
+// trouble-1, seed 411124762219).
+TEST_F(DispatcherTest, AnOvertakenLookDoesNotEndARun) {
+  AddWorker("w1");
+  Lead();
+  Submit("other", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  workers_.on_start = [&](const worker_target&,
+                          const start_order&) -> order_result {
+    return no_answer{};
+  };
+  workers_.look_travel = milliseconds(100);
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(50));
+  workers_.places[{"w1"}].running[RunOf("j", 0, 1)] = "";
+  workers_.End({"w1"}, RunOf("other", 0, 1), run_end::kDone);
+  RunFor(seconds(3));
+  EXPECT_EQ(CountStarts("j"), 1u);
+  EXPECT_TRUE(workers_.stops.empty());
+}
+
 // Guards against two runs of one task on a worker that is only cut off: its
 // lease must have ended before the task starts elsewhere.
 TEST_F(DispatcherTest, WaitsForTheLeaseOfASilentWorker) {
@@ -328,6 +361,107 @@
   EXPECT_EQ(workers_.starts.back().run, RunOf("j", 0, 2));
 }
 
+// Guards against a confirmed start that is taken for lost with the worker's
+// former life, although it reached the next one under the same id: the task
+// would run twice.
+TEST_F(DispatcherTest, AConfirmedStartMayRunInTheNextLife) {
+  AddWorker("w1");
+  AddWorker("w2");
+  Lead();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  ASSERT_EQ(workers_.starts.size(), 1u);
+  const core::worker_id id = log_.state.PlaceOf(RunOf("j", 0, 1))->id;
+  // The life that confirmed the start is announced only now.
+  AddWorker(id.v, 2);
+  RunFor(seconds(1));
+  EXPECT_EQ(workers_.starts.size(), 1u);
+  EXPECT_TRUE(workers_.stops.empty());
+  workers_.End(id, RunOf("j", 0, 1), run_end::kDone);
+  RunFor(seconds(1));
+  EXPECT_EQ(Phase("j"), workflow::job_phase::kSucceeded);
+}
+
+// Guards against a run that is lost with a worker's former life and never
+// started again.
+TEST_F(DispatcherTest, ALostRunIsStartedAgain) {
+  AddWorker("w1");
+  Lead();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  workers_.places[{"w1"}] = {};
+  AddWorker("w1", 2);
+  RunFor(milliseconds(200));
+  EXPECT_TRUE(workers_.places[{"w1"}].running.contains(RunOf("j", 0, 2)));
+}
+
+// Guards against a run number that is placed on two workers: the first one left
+// while the placement was being recorded, so that it counts for nothing, and
+// its end must not touch the second placement (seen in a hunt on
+// mzpz-sieradz, scale-2, seed 244845874125).
+TEST_F(DispatcherTest, AWorkerThatLeavesWhileAPlacementIsRecorded) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  AddWorker("w2", 1, 16'000);
+  AddWorker("w3", 1, 24'000);
+  Lead();
+  log_.latency = milliseconds(50);
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(20));
+  log_.Apply(workflow::worker_removed{w1});
+  RunFor(milliseconds(400));
+  ASSERT_EQ(workers_.starts.size(), 1u);
+  EXPECT_TRUE(workers_.places[{"w2"}].running.contains(RunOf("j", 0, 1)));
+  workers_.End({"w2"}, RunOf("j", 0, 1), run_end::kDone);
+  RunFor(seconds(3));
+  EXPECT_EQ(workers_.starts.size(), 1u);
+  EXPECT_EQ(Phase("j"), workflow::job_phase::kSucceeded);
+}
+
+// Guards against leases that outlast the time that is waited for a silent
+// worker, because the worker's clock runs slow and was last read long ago.
+TEST_F(DispatcherTest, ASlowClockGetsNoLongerLease) {
+  workers_.clock_rate = 0.98;
+  const workflow::worker_key w1 = AddWorker("w1");
+  Lead();
+  for (int i = 0; i < 100; ++i) {
+    dispatcher_->OnHeard(w1, workers_.ClockMs());
+    RunFor(seconds(1));
+  }
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(50));
+  ASSERT_EQ(workers_.starts.size(), 1u);
+  EXPECT_LE(workers_.starts[0].lease_until_ms, workers_.ClockMs() + 5'800);
+  EXPECT_GE(workers_.starts[0].lease_until_ms, workers_.ClockMs() + 5'600);
+}
+
+// Guards against leases from a leader that has stood still: a later one counts
+// them from the time that this one was surely the leader.
+TEST_F(DispatcherTest, LeasesCountFromTheConfirmedLead) {
+  AddWorker("w1");
+  Lead();
+  RunFor(seconds(2));
+  log_.lead_confirmed_at = clock_.Now() - seconds(3);
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(50));
+  ASSERT_EQ(workers_.starts.size(), 1u);
+  EXPECT_LE(workers_.starts[0].lease_until_ms, workers_.ClockMs() + 2'800);
+}
+
+// Guards against tickets and refusals of a worker's former life, which may be
+// of another kind.
+TEST_F(DispatcherTest, EligibilityEndsWithAWorkersLife) {
+  AddWorker("w1");
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 60'000};
+  Lead();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(300));
+  EXPECT_TRUE(workers_.starts.empty());
+  eligibility_.eligible = {{"w1"}};
+  AddWorker("w1", 2);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(workers_.starts.size(), 1u);
+}
+
 // Guards against starts on workers that may not run the step, and starts
 // without a ticket.
 TEST_F(DispatcherTest, StartsOnlyOnEligibleWorkersWithTheirTicket) {
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -13,24 +13,34 @@
 /// Fakes at the interfaces of the dispatcher.
 namespace mangoplank::dispatch {
 
-/// Applies events at once, unless it has lost the lead.
+/// Applies events after its latency, unless it has lost the lead.
 class fake_journal : public journal {
  public:
+  explicit fake_journal(core::fake_clock& c) : clock(c) {}
+
   core::awaitable<core::outcome<void>> Record(
       std::vector<workflow::event> events) override {
     if (lost) co_return core::failure(core::commit_unknown{});
+    if (latency > core::duration(0)) co_await core::SleepFor(clock, latency);
     for (const workflow::event& e : events) Apply(e);
     co_return core::outcome<void>();
   }
   const workflow::state& State() const override { return state; }
+  core::time_point LeadConfirmedAt() const override {
+    return lead_confirmed_at.value_or(clock.Now());
+  }
   void Apply(const workflow::event& e) {
     state.Apply(e);
     if (observer != nullptr) observer->OnEvent(e);
   }
 
+  core::fake_clock& clock;
   workflow::state state;
   dispatcher* observer = nullptr;
   bool lost = false;
+  core::duration latency{0};
+  /// The present time if not set.
+  std::optional<core::time_point> lead_confirmed_at;
 };
 
 /// Workers that do what they are told, and record it.
@@ -54,10 +64,15 @@
   /// Workers that answer nothing.
   std::set<core::worker_id> silent;
   core::fake_clock& clock;
+  double clock_rate = 1;
 
   explicit fake_workers(core::fake_clock& c) : clock(c) {}
 
-  std::int64_t ClockMs() const { return clock.WallNow(); }
+  /// Reading of the workers' clocks, which may run slow.
+  std::int64_t ClockMs() const {
+    return static_cast<std::int64_t>(static_cast<double>(clock.WallNow()) *
+                                     clock_rate);
+  }
 
   void End(const core::worker_id& w, const workflow::run_id& run,
            workflow::run_end how, const std::string& checkpoint = "") {
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -90,6 +90,14 @@
   eligible.erase(first, last);
 }
 
+/// Answers hold for one life of a worker: the next may be of another kind.
+void dispatcher::impl::ForgetEligibility(const core::worker_id& worker) {
+  for (auto& [key, view] : eligible) {
+    view.refused.erase(worker);
+    view.tickets.erase(worker);
+  }
+}
+
 /// Asks about a step whose tasks wait. The first call names all workers, so
 /// that it is known who may run the step; later ones those with room whose
 /// tickets have expired.
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -385,6 +385,12 @@
   return best;
 }
 
+/// @return whether the run is recorded as placed on this life of the worker.
+bool dispatcher::impl::IsAt(const workflow::run_id& run, const agent& a) const {
+  const workflow::worker_key* const at = log.State().PlaceOf(run);
+  return at != nullptr && *at == a.about.key;
+}
+
 awaitable<void> dispatcher::impl::Commit(std::vector<planned_run> runs) {
   const auto self = shared_from_this();
   std::vector<workflow::event> events;
@@ -394,7 +400,10 @@
   const auto recorded = co_await log.Record(std::move(events));
   if (stopped) co_return;
   for (planned_run& p : runs) {
-    if (recorded && log.State().IsAssigned(p.run) && !p.where->gone) {
+    // If the worker has gone meanwhile, the run was taken from it, and its
+    // number may belong to a placement elsewhere.
+    if (p.where->gone) continue;
+    if (recorded && IsAt(p.run, *p.where)) {
       Spawn(StartRun(std::move(p)));
       continue;
     }
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -209,7 +209,12 @@
   const auto& known = machine.State().Workers();
   const auto it = known.find(r.id);
   if (it == known.end()) co_return workflow::accepted{};
-  if (r.born != 0 && r.born != it->second.key.born) {
+  // Workers drain before they leave; a farewell that names no life and finds
+  // another state is a late one of an earlier life.
+  const workflow::worker& w = it->second;
+  const bool is_other = r.born == 0 ? !w.draining : r.born != w.key.born;
+  if (is_other) {
+    spdlog::info("farewell_ignored worker={} draining={}", r.id.v, w.draining);
     co_return workflow::accepted{};
   }
   spdlog::info("worker_left worker={}", r.id.v);
@@ -333,6 +338,10 @@
 
 const workflow::state& service::State() const { return impl_->machine.State(); }
 
+core::time_point service::LeadConfirmedAt() const {
+  return impl_->node.LeadConfirmedAt();
+}
+
 void service::OnEvent(const workflow::event& e) {
   if (impl_->current) impl_->current->OnEvent(e);
 }
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -140,5 +140,19 @@
   EXPECT_TRUE(machine_.State().Workers().empty());
 }
 
+// Guards against a farewell without a time of birth that comes late, from a
+// life that drained and ended, and removes the present one while it works.
+TEST_F(ServiceTest, AFarewellEndsOnlyADrainedLife) {
+  workflow::announce_worker a;
+  a.w.key = {{"w"}, 5};
+  Ask(a);
+  EXPECT_EQ(Ask(workflow::remove_worker{{"w"}, 0}), accepted_);
+  EXPECT_EQ(machine_.State().Workers().size(), 1u);
+  a.w.draining = true;
+  Ask(a);
+  EXPECT_EQ(Ask(workflow::remove_worker{{"w"}, 0}), accepted_);
+  EXPECT_TRUE(machine_.State().Workers().empty());
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/workflow/client.cpp
+++ b/src/workflow/client.cpp
@@ -39,6 +39,11 @@
   core::event done;
 };
 
+bool IsCommitUnknown(const answer_body& a) {
+  const auto* const f = std::get_if<core::failure>(&a);
+  return f != nullptr && std::holds_alternative<core::commit_unknown>(*f);
+}
+
 bool IsRetried(const answer_body& a) {
   const auto* const f = std::get_if<core::failure>(&a);
   return f != nullptr && (std::holds_alternative<core::not_leader>(*f) ||
@@ -228,6 +233,14 @@
                                    core::time_point deadline) {
   const auto self = impl_;
   bool sent_once = false;
+  // An earlier try may have been recorded, so that a later refusal does not
+  // tell that nothing was.
+  bool is_open = false;
+  const auto outcome_of = [&is_open](answer_body a) {
+    const bool refused = std::holds_alternative<core::failure>(a);
+    if (refused && is_open) return answer_body(core::commit_unknown{});
+    return a;
+  };
   while (true) {
     while (!self->link) {
       const bool notified = co_await self->connected.WaitUntil(deadline);
@@ -248,8 +261,11 @@
       self->waiting.erase(id);
       co_return core::failure(core::commit_unknown{});
     }
-    if (!IsRetried(*w->result)) co_return std::move(*w->result);
-    if (self->context.clock.Now() >= deadline) co_return std::move(*w->result);
+    const bool is_last = self->context.clock.Now() >= deadline;
+    if (is_last || !IsRetried(*w->result)) {
+      co_return outcome_of(std::move(*w->result));
+    }
+    is_open = is_open || IsCommitUnknown(*w->result);
     // The connection to a process that leads no more is being closed.
     if (self->link == used) {
       co_await core::SleepFor(self->context.clock, kRetryPause);
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -202,13 +202,15 @@
   return known ? &it->second : nullptr;
 }
 
-bool state::IsAssigned(const run_id& run) const {
+const worker_key* state::PlaceOf(const run_id& run) const {
   const job* const j = FindJob(run.task.job);
-  if (j == nullptr) return false;
+  if (j == nullptr) return nullptr;
   const auto at = j->TaskAt(run.task);
-  if (!at) return false;
+  if (!at) return nullptr;
   const task& t = j->tasks[*at];
-  return t.phase == task_phase::kAssigned && t.last_run == run.number;
+  const bool is_assigned =
+      t.phase == task_phase::kAssigned && t.last_run == run.number;
+  return is_assigned ? &t.where : nullptr;
 }
 
 std::size_t state::CountQueued(const std::string& queue) const {
