Calls for eligibility wait in one line by the queue's priority

The gangs kept room meanwhile, so the less urgent tasks waited and renewed their tickets ever more often. Ruled out: processor time (controllers at 0.07 of 0.4 cores on average). Change: only the first of the line, by priority and age, takes an asker; long calls leave an eighth of the askers free.

--- a/src/dispatch/link_server.cpp
+++ b/src/dispatch/link_server.cpp
@@ -26,8 +26,10 @@
 constexpr core::milliseconds kAskSlack{700};
 /// Longest wait for an asker.
 constexpr core::milliseconds kAskWait{4'000};
-/// A call that takes longer leaves a quarter of the askers to others.
+/// A call that takes longer leaves a part of the askers to others, so that
+/// short ones of urgent queues find one at once.
 constexpr core::milliseconds kLongCall{200};
+constexpr std::size_t kAskersPerReserved = 8;
 
 struct pending_ask {
   pending_ask(const asio::any_io_executor& e, core::clock& c) : done(e, c) {}
@@ -77,9 +79,10 @@
   std::map<wire::connection*, asker> askers;
   std::uint64_t next_id = 1;
   std::map<std::uint64_t, std::shared_ptr<pending_ask>> asks;
-  /// Calls that wait for an asker.
-  std::set<ask_rank> short_calls;
-  std::set<ask_rank> long_calls;
+  /// Calls that wait for an asker. Only the first may take one: a long call
+  /// that waits for the reserve to fill would otherwise be passed for good by
+  /// short ones of less urgent queues.
+  std::set<ask_rank> line;
   core::event freed;
 };
 
@@ -92,9 +95,9 @@
     ++idle;
     found = c;
   }
-  if (found == nullptr || (is_long && idle <= askers.size() / 4)) {
-    return nullptr;
-  }
+  const std::size_t reserved =
+      is_long ? askers.size() / kAskersPerReserved : 0;
+  if (idle <= reserved) return nullptr;
   askers[found].busy = true;
   return found;
 }
@@ -213,7 +216,7 @@
   core::clock& clock = self->context.clock;
   const std::uint64_t id = self->next_id++;
   const bool is_long = cost > kLongCall;
-  auto& line = is_long ? self->long_calls : self->short_calls;
+  auto& line = self->line;
   const ask_rank rank{priority, id};
   line.insert(rank);
   const core::time_point give_up = clock.Now() + kAskWait;
