Members of a gang stop if one can't start; failed tasks are tried elsewhere

Attempts of tasks were spent on workers that fail all they start, as the tightest worker with room was chosen again. Change: an end not_started of a member stops the rest of its run. Workers where a task of the step failed are left out while others may run it; a worker on which two jobs failed without a success between gets no tasks for 2 s. Measured: three tests fail before and pass after.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -17,6 +17,11 @@
 namespace {
 
 constexpr core::milliseconds kForgetInterval{5'000};
+/// Jobs that fail on a worker one after the other before it is taken for
+/// unsound; one may fail by its own fault.
+constexpr std::size_t kUnsoundAfter = 2;
+/// Time for which an unsound worker gets no tasks.
+constexpr core::milliseconds kUnsoundTime{2'000};
 
 }  // namespace
 
@@ -194,12 +199,43 @@
   for (run.task.index = first; run.task.index <= last; ++run.task.index) {
     const auto it = places.find(run);
     if (it == places.end() || log.State().IsAssigned(run)) continue;
-    auto& runs = it->second->runs;
     metered.Ended(e.how).Add();
-    if (e.how == workflow::run_end::kDone) NoteRunTime(run, runs[run]);
-    runs.erase(run);
+    NoteEnd(*it->second, run, e.how);
+    it->second->runs.erase(run);
     places.erase(it);
   }
+  // Workers end the rest of a gang by themselves if a member that ran ends.
+  if (s.gang && e.how == workflow::run_end::kNotStarted) {
+    StopGang(e.run, s.count);
+  }
+}
+
+/// Learns from an end how long tasks take and whether the worker is sound.
+void dispatcher::impl::NoteEnd(agent& a, const workflow::run_id& run,
+                               workflow::run_end how) {
+  if (how == workflow::run_end::kDone) {
+    NoteRunTime(run, a.runs[run]);
+    a.failed_jobs.clear();
+  }
+  if (how != workflow::run_end::kFailed) return;
+  const workflow::task_id& t = run.task;
+  failed_on[{t.job, t.occurrence, t.step}].insert(a.about.key.id);
+  a.failed_jobs.insert(t.job);
+  if (a.failed_jobs.size() < kUnsoundAfter) return;
+  a.avoid_until = clock.Now() + kUnsoundTime;
+  spdlog::info("worker_unsound worker={} failed_jobs={} avoided_ms={}",
+               a.about.key.id.v, a.failed_jobs.size(), kUnsoundTime.count());
+}
+
+/// Stops the other members of a gang's run, which would wait for the one that
+/// was not started.
+void dispatcher::impl::StopGang(const workflow::run_id& member,
+                                std::uint32_t count) {
+  workflow::run_id run = member;
+  for (run.task.index = 0; run.task.index < count; ++run.task.index) {
+    const auto it = places.find(run);
+    if (it != places.end()) Spawn(StopRun(it->second, run));
+  }
 }
 
 void dispatcher::impl::OnJobFinal(const workflow::job& j) {
@@ -208,6 +244,9 @@
                Name(j.phase), j.q.name, clock.WallNow() - j.accepted_at);
   ended_jobs.emplace_back(clock.Now() + settings.keep_ended, j.spec.id);
   ForgetEligibility(j.spec.id);
+  std::erase_if(failed_on, [&](const auto& entry) {
+    return entry.first.job == j.spec.id;
+  });
   for (auto it = places.lower_bound({{j.spec.id, 0, 0, 0}, 0});
        it != places.end() && it->first.task.job == j.spec.id; ++it) {
     Spawn(StopRun(it->second, it->first));
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -60,6 +60,8 @@
   core::time_point heard;
   /// No new tasks until then.
   core::time_point avoid_until{};
+  /// Jobs of which runs failed here since the last one succeeded.
+  std::set<std::string> failed_jobs;
   std::map<workflow::run_id, followed_run> runs;
   core::event wake;
 };
@@ -127,6 +129,8 @@
   /// Highest run number of any task of the step.
   std::uint32_t last_run = 0;
   std::map<core::worker_id, std::uint32_t> placed;
+  /// Workers on which tasks of the step have failed.
+  std::set<core::worker_id> failed_on;
 };
 
 /// A run that a round has decided to start.
@@ -154,6 +158,8 @@
   void AddWorker(const workflow::worker& w);
   void TrackJob(const workflow::job& j);
   void OnRunEnded(const workflow::run_ended& e);
+  void NoteEnd(agent& a, const workflow::run_id& run, workflow::run_end how);
+  void StopGang(const workflow::run_id& member, std::uint32_t count);
   void OnJobFinal(const workflow::job& j);
   core::awaitable<void> ForgetLoop();
 
@@ -240,6 +246,7 @@
   std::map<std::string, std::vector<usable_worker>> usable;
   std::unordered_map<core::worker_id, usable_worker*> usable_by_id;
   std::map<step_key, eligibility_view> eligible;
+  std::map<step_key, std::set<core::worker_id>> failed_on;
   /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
   std::map<std::string, double> mean_run_ms;
   std::vector<planned_run> planned;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -518,6 +518,61 @@
   EXPECT_EQ(workers_.starts[0].run.number, workers_.starts[1].run.number);
 }
 
+// Guards against members of a gang that wait for one whose start was refused
+// (seen in mzpz-sieradz-grown, quiet-1).
+TEST_F(DispatcherTest, AGangIsStoppedIfAMemberCanNotStart) {
+  AddWorker("w1");
+  AddWorker("w2");
+  Lead();
+  int refusals = 1;
+  workers_.on_start = [&](const worker_target& to,
+                          const start_order& o) -> order_result {
+    if (o.run.task.index == 1 && refusals-- > 0) {
+      return order_refused{refusal::kTicket};
+    }
+    workers_.places[to.key.id].running[o.run] = "";
+    return order_done{workers_.ClockMs()};
+  };
+  workflow::step gang = Step(2, 5'000);
+  gang.gang = true;
+  Submit("j", {gang}, queue_);
+  RunFor(milliseconds(500));
+  ASSERT_EQ(workers_.stops.size(), 1u);
+  EXPECT_EQ(workers_.stops[0].run, RunOf("j", 0, 1));
+  EXPECT_EQ(CountStarts("j"), 4u);
+}
+
+// Guards against attempts of a task that are spent on a worker that fails all
+// it starts.
+TEST_F(DispatcherTest, AFailedTaskIsTriedElsewhere) {
+  AddWorker("w1", 1, 8'000);
+  AddWorker("w2", 1, 16'000);
+  Lead();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  ASSERT_TRUE(workers_.places[{"w1"}].running.contains(RunOf("j", 0, 1)));
+  workers_.End({"w1"}, RunOf("j", 0, 1), run_end::kFailed);
+  RunFor(milliseconds(200));
+  EXPECT_TRUE(workers_.places[{"w2"}].running.contains(RunOf("j", 0, 2)));
+}
+
+// Guards against jobs that go to a worker that fails all it starts.
+TEST_F(DispatcherTest, AWorkerThatFailsSeveralJobsIsAvoided) {
+  AddWorker("w1", 1, 8'000);
+  AddWorker("w2", 1, 16'000);
+  Lead();
+  for (const char* job : {"a", "b"}) {
+    Submit(job, {Step(1, 1'000)}, queue_);
+    RunFor(milliseconds(100));
+    ASSERT_TRUE(workers_.places[{"w1"}].running.contains(RunOf(job, 0, 1)));
+    workers_.End({"w1"}, RunOf(job, 0, 1), run_end::kFailed);
+    RunFor(milliseconds(100));
+  }
+  Submit("c", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  EXPECT_TRUE(workers_.places[{"w2"}].running.contains(RunOf("c", 0, 1)));
+}
+
 // Guards against a gang that waits for good because smaller tasks of a less
 // urgent queue take what comes free: resumable ones are stopped for it, and
 // resume later from where they were.
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -206,6 +206,8 @@
                                              std::uint32_t occurrence,
                                              std::uint32_t step) const {
   waiting_tasks w;
+  const auto failed = failed_on.find({j.spec.id, occurrence, step});
+  if (failed != failed_on.end()) w.failed_on = failed->second;
   workflow::task_id id{j.spec.id, occurrence, step, 0};
   for (; id.index < j.spec.steps[step].count; ++id.index) {
     const workflow::task& t = j.tasks[*j.TaskAt(id)];
@@ -322,6 +324,7 @@
 }
 
 /// @return the workers that may run tasks of the step, whatever their room.
+/// Those on which some have failed are left out unless there are no others.
 std::vector<placing_option> dispatcher::impl::OptionsFor(
     const workflow::step& s, const workflow::queue& q,
     const waiting_tasks& waiting, const eligibility_view* view) {
@@ -330,14 +333,19 @@
     for (usable_worker& w : usable[q.pool]) {
       AddOption(options, w, s, waiting, nullptr);
     }
-    return options;
-  }
-  for (const auto& [id, t] : view->tickets) {
-    const auto w = usable_by_id.find(id);
-    if (w == usable_by_id.end()) continue;
-    if (w->second->a->about.pool != q.pool) continue;
-    AddOption(options, *w->second, s, waiting, &t);
+  } else {
+    for (const auto& [id, t] : view->tickets) {
+      const auto w = usable_by_id.find(id);
+      if (w == usable_by_id.end()) continue;
+      if (w->second->a->about.pool != q.pool) continue;
+      AddOption(options, *w->second, s, waiting, &t);
+    }
   }
+  const auto has_failed = [&](const placing_option& o) {
+    return waiting.failed_on.contains(o.where->a->about.key.id);
+  };
+  const bool others = !std::all_of(options.begin(), options.end(), has_failed);
+  if (others) std::erase_if(options, has_failed);
   return options;
 }
 
