Room that a step asks about is kept from steps of a lower rank

Change: a step that renews tickets keeps the room it asks about for as long as the call lasts; further workers are asked about only if they have room.

--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -84,6 +84,8 @@
 struct eligibility_view {
   bool asking = false;
   core::time_point ask_after{};
+  /// Workers whose tickets are being renewed.
+  std::vector<core::worker_id> renewed;
   std::set<core::worker_id> refused;
   std::map<core::worker_id, ticket> tickets;
 };
@@ -221,6 +223,8 @@
   void Inquire(const workflow::queue& q, const step_key& key,
                const workflow::step& s, const waiting_tasks& waiting,
                bool keep_valid, eligibility_view& view);
+  void KeepAskedRoom(const workflow::step& s, const eligibility_view& view,
+                     std::size_t tasks);
   core::awaitable<void> Ask(workflow::queue q, step_key key,
                             std::vector<core::worker_id> asked);
 
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -109,6 +109,7 @@
                                eligibility_view& view) {
   if (view.asking || clock.Now() < view.ask_after) return;
   const core::resources need = NeedOf(s);
+  const bool is_first = view.tickets.empty() && view.refused.empty();
   std::vector<usable_worker> unknown;
   std::vector<usable_worker> renewed;
   // Tasks that fit on workers known to be eligible: now, and on empty ones.
@@ -122,12 +123,13 @@
     const core::worker_id& id = w.a->about.key.id;
     if (view.refused.contains(id) || !w.a->about.capacity.Holds(need)) continue;
     const auto t = view.tickets.find(id);
+    // Room that a step of a higher rank asks about is not there for others.
+    const std::size_t fits = Fits(s.gang ? w.free : w.room, need, s.count);
     if (t == view.tickets.end()) {
-      unknown.push_back(w);
+      if (is_first || s.gang || fits > 0) unknown.push_back(w);
       continue;
     }
     capacity += Fits(w.a->about.capacity, need, s.count);
-    const std::size_t fits = Fits(w.free, need, s.count);
     room += fits;
     if (fits == 0 && !keep_valid) continue;
     if (t->second.expires < renew_at) renewed.push_back(w);
@@ -140,7 +142,8 @@
   if (!ask_more && !renewed.empty() && (gang_fits || keep_valid)) {
     const std::size_t wanted = waiting.indexes.size() * kRenewedPerTask;
     view.asking = true;
-    Spawn(Ask(q, key, Roomiest(std::move(renewed), wanted)));
+    view.renewed = Roomiest(std::move(renewed), wanted);
+    Spawn(Ask(q, key, view.renewed));
     return;
   }
   if (unknown.empty()) return;
@@ -148,6 +151,22 @@
   Spawn(Ask(q, key, Roomiest(std::move(unknown), kMaxAsked)));
 }
 
+/// Keeps the room of workers whose tickets are being renewed from steps of a
+/// lower rank: they would ask about it as well, and only one can have it.
+/// @param tasks that wait.
+void dispatcher::impl::KeepAskedRoom(const workflow::step& s,
+                                     const eligibility_view& view,
+                                     std::size_t tasks) {
+  const core::resources need = NeedOf(s);
+  for (const core::worker_id& id : view.renewed) {
+    const auto w = usable_by_id.find(id);
+    if (w == usable_by_id.end()) continue;
+    for (; tasks > 0 && w->second->room.Holds(need); --tasks) {
+      w->second->room = w->second->room - need;
+    }
+  }
+}
+
 awaitable<void> dispatcher::impl::Ask(workflow::queue q, step_key key,
                                       std::vector<core::worker_id> asked) {
   const auto self = shared_from_this();
@@ -160,6 +179,7 @@
   if (it == eligible.end()) co_return;
   eligibility_view& view = it->second;
   view.asking = false;
+  view.renewed.clear();
   if (!rows) {
     view.ask_after = clock.Now() + kAskPause;
     co_return;
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -269,6 +269,9 @@
   }
   if (!all && known != nullptr) {
     Inquire(q, key, s, waiting, s.gang && on_time, *known);
+    if (!s.gang) {
+      KeepAskedRoom(s, *known, waiting.indexes.size() - chosen.size());
+    }
   }
   for (planned_run& p : chosen) {
     p.where->runs[p.run] = {.need = need,
