Rounds look only at workers where a task may start; queues by name

Cause: with 350 workers and some hundred waiting steps a round looked up every worker for every step, and every queue of the catalog by its name in turn. Change: a step that is no gang skips workers without room before any look-up; an option refers to its ticket; the state has an index of queues.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -161,7 +162,11 @@
   void Finish(job& j, const task_id& id);
   void EndRuns(const worker_key& w);
 
+  void IndexQueues();
+
   catalog catalog_;
+  /// Positions of the catalog's queues by name; there may be hundreds.
+  std::unordered_map<std::string, std::size_t> queue_at_;
   std::map<std::string, job> jobs_;
   std::map<core::worker_id, worker> workers_;
 };
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -117,7 +117,8 @@
 /// A worker for the tasks of one step.
 struct placing_option {
   usable_worker* where = nullptr;
-  std::string ticket;
+  /// Null if none is needed.
+  const ticket* admission = nullptr;
   /// Tasks of the step that it may still take.
   std::uint32_t most = 0;
   /// It stands in the rack that holds the data.
@@ -208,6 +209,8 @@
   void AddOption(std::vector<placing_option>& options, usable_worker& w,
                  const workflow::step& s, const waiting_tasks& waiting,
                  const ticket* t) const;
+  bool MayStartNow(const usable_worker& w, const workflow::step& s,
+                   const ticket* t) const;
   placing_option* BestOption(std::vector<placing_option>& options,
                              const workflow::step& s, bool now);
   core::awaitable<void> Commit(std::vector<planned_run> runs);
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -120,13 +120,15 @@
       (keep_valid ? AskCost(q, waiting.indexes.size() * kRenewedPerTask)
                   : core::milliseconds(0));
   for (const usable_worker& w : usable[q.pool]) {
+    // Spares the look-ups below: most workers are full when many steps wait.
+    if (!is_first && !s.gang && !w.room.Holds(need)) continue;
     const core::worker_id& id = w.a->about.key.id;
     if (view.refused.contains(id) || !w.a->about.capacity.Holds(need)) continue;
     const auto t = view.tickets.find(id);
     // Room that a step of a higher rank asks about is not there for others.
     const std::size_t fits = Fits(s.gang ? w.free : w.room, need, s.count);
     if (t == view.tickets.end()) {
-      if (is_first || s.gang || fits > 0) unknown.push_back(w);
+      unknown.push_back(w);
       continue;
     }
     capacity += Fits(w.a->about.capacity, need, s.count);
--- a/src/dispatch/link_server.cpp
+++ b/src/dispatch/link_server.cpp
@@ -95,8 +95,7 @@
     ++idle;
     found = c;
   }
-  const std::size_t reserved =
-      is_long ? askers.size() / kAskersPerReserved : 0;
+  const std::size_t reserved = is_long ? askers.size() / kAskersPerReserved : 0;
   if (idle <= reserved) return nullptr;
   askers[found].busy = true;
   return found;
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -248,7 +248,9 @@
     id.index = index;
     const std::uint32_t last =
         s.gang ? waiting.last_run : j.tasks[*j.TaskAt(id)].last_run;
-    chosen.push_back({best->where->a, {id, last + 1}, best->ticket});
+    const ticket* const t = best->admission;
+    chosen.push_back(
+        {best->where->a, {id, last + 1}, t == nullptr ? "" : t->text});
   }
   const bool all = chosen.size() == waiting.indexes.size();
   const bool on_time = view == outlook::kOnTime;
@@ -332,36 +334,45 @@
     const workflow::step& s, const workflow::queue& q,
     const waiting_tasks& waiting, const eligibility_view* view) {
   std::vector<placing_option> options;
+  const std::size_t known =
+      view == nullptr ? usable[q.pool].size() : view->tickets.size();
+  const bool others = known > waiting.failed_on.size();
+  const auto is_left_out = [&](const usable_worker& w) {
+    return others && waiting.failed_on.contains(w.a->about.key.id);
+  };
   if (view == nullptr) {
     for (usable_worker& w : usable[q.pool]) {
-      AddOption(options, w, s, waiting, nullptr);
-    }
-  } else {
-    for (const auto& [id, t] : view->tickets) {
-      const auto w = usable_by_id.find(id);
-      if (w == usable_by_id.end()) continue;
-      if (w->second->a->about.pool != q.pool) continue;
-      AddOption(options, *w->second, s, waiting, &t);
+      if (!is_left_out(w)) AddOption(options, w, s, waiting, nullptr);
     }
+    return options;
+  }
+  for (const auto& [id, t] : view->tickets) {
+    const auto w = usable_by_id.find(id);
+    if (w == usable_by_id.end() || is_left_out(*w->second)) continue;
+    if (w->second->a->about.pool != q.pool) continue;
+    AddOption(options, *w->second, s, waiting, &t);
   }
-  const auto has_failed = [&](const placing_option& o) {
-    return waiting.failed_on.contains(o.where->a->about.key.id);
-  };
-  const bool others = !std::all_of(options.begin(), options.end(), has_failed);
-  if (others) std::erase_if(options, has_failed);
   return options;
 }
 
+/// @param t the worker's ticket, or null if none is needed.
+bool dispatcher::impl::MayStartNow(const usable_worker& w,
+                                   const workflow::step& s,
+                                   const ticket* t) const {
+  return w.room.Holds(NeedOf(s)) && (t == nullptr || IsValid(*t));
+}
+
 /// @param t the worker's ticket, or null if none is needed.
 void dispatcher::impl::AddOption(std::vector<placing_option>& options,
                                  usable_worker& w, const workflow::step& s,
                                  const waiting_tasks& waiting,
                                  const ticket* t) const {
   const workflow::worker& about = w.a->about;
+  // A gang also keeps room where it can't start yet; other steps don't.
+  if (!s.gang && !MayStartNow(w, s, t)) return;
   if (!HasLabel(about, s.required_label)) return;
-  placing_option o{&w, {}, s.count, false, t == nullptr || IsValid(*t)};
+  placing_option o{&w, t, s.count, false, t == nullptr || IsValid(*t)};
   o.near = HasLabel(about, s.preferred_rack);
-  if (t != nullptr) o.ticket = t->text;
   if (s.max_per_worker > 0) {
     const auto used = waiting.placed.find(about.key.id);
     const std::uint32_t n = used == waiting.placed.end() ? 0 : used->second;
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -52,7 +52,16 @@
 }
 
 void state::On(const catalog_declared& e) {
-  if (e.c.version > catalog_.version) catalog_ = e.c;
+  if (e.c.version <= catalog_.version) return;
+  catalog_ = e.c;
+  IndexQueues();
+}
+
+void state::IndexQueues() {
+  queue_at_.clear();
+  for (std::size_t i = 0; i < catalog_.queues.size(); ++i) {
+    queue_at_.emplace(catalog_.queues[i].name, i);
+  }
 }
 
 void state::On(const job_accepted& e) {
@@ -178,10 +187,8 @@
 }
 
 const queue& state::QueueOf(const job& j) const {
-  for (const queue& q : catalog_.queues) {
-    if (q.name == j.q.name) return q;
-  }
-  return j.q;
+  const auto at = queue_at_.find(j.q.name);
+  return at == queue_at_.end() ? j.q : catalog_.queues[at->second];
 }
 
 const queue* state::Route(const std::string& host,
@@ -231,6 +238,7 @@
 state state::FromImage(const image& i) {
   state s;
   s.catalog_ = i.c;
+  s.IndexQueues();
   for (const job& j : i.jobs) s.jobs_.emplace(j.spec.id, j);
   for (const worker& w : i.workers) s.workers_.emplace(w.key.id, w);
   return s;
