Askers share short calls; only gangs near their start keep room

Each short call held an asker for the way there and back, five times its length; every gang that waited renewed its tickets, which take most of a second, and kept room that stood empty. Ruled out: processor time of the leader; too few machines that ask (43, of which 23 to 25 were in use by the calls' own length). The count of tasks that fit stands in one place.

--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -35,6 +35,10 @@
 /// @return the room that a task of the step takes of a worker.
 core::resources NeedOf(const workflow::step& s);
 
+/// @return how many tasks of this need fit into the room, at most `most`.
+std::size_t Fits(const core::resources& room, const core::resources& need,
+                 std::size_t most);
+
 /// What the leader knows of one life of a worker.
 struct agent {
   agent(workflow::worker w, const boost::asio::any_io_executor& e,
@@ -126,6 +130,14 @@
   bool has_ticket = false;
 };
 
+/// How near a gang is to its start.
+struct gang_outlook {
+  /// It keeps room and will start as soon as there is enough.
+  bool keeps_room = false;
+  /// Tasks that would fit now on workers known to be eligible.
+  std::size_t fitting = 0;
+};
+
 /// Tasks of one step without a place.
 struct waiting_tasks {
   std::vector<std::uint32_t> indexes;
@@ -225,7 +237,7 @@
   core::milliseconds AskCost(const workflow::queue& q, std::size_t n) const;
   void Inquire(const workflow::queue& q, const step_key& key,
                const workflow::step& s, const waiting_tasks& waiting,
-               bool keep_valid, eligibility_view& view);
+               gang_outlook gang, eligibility_view& view);
   void KeepAskedRoom(const workflow::step& s, const eligibility_view& view,
                      std::size_t tasks);
   core::awaitable<void> Ask(workflow::queue q, step_key key,
@@ -252,6 +264,8 @@
   /// Workers of the present round, by pool.
   std::map<std::string, std::vector<usable_worker>> usable;
   std::unordered_map<core::worker_id, usable_worker*> usable_by_id;
+  /// Pools of which a gang keeps room in the present round.
+  std::set<std::string> waiting_gangs;
   std::map<step_key, eligibility_view> eligible;
   std::map<step_key, std::set<core::worker_id>> failed_on;
   /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -26,19 +26,6 @@
 /// are empty; with less it would wait for nearly all of them.
 constexpr std::size_t kCapacityFactor = 2;
 
-/// @return how many tasks of this need fit into the room, at most `most`.
-std::size_t Fits(const core::resources& room, const core::resources& need,
-                 std::size_t most) {
-  if (!room.Holds(need)) return 0;
-  auto n = static_cast<std::int64_t>(most);
-  if (need.cpu_milli > 0) n = std::min(n, room.cpu_milli / need.cpu_milli);
-  if (need.memory_mib > 0) n = std::min(n, room.memory_mib / need.memory_mib);
-  if (need.accelerators > 0) {
-    n = std::min(n, room.accelerators / need.accelerators);
-  }
-  return static_cast<std::size_t>(n);
-}
-
 /// @return at most `most` of the workers, those with the most room.
 std::vector<core::worker_id> Roomiest(std::vector<usable_worker> workers,
                                       std::size_t most) {
@@ -79,7 +66,7 @@
     all.indexes.resize(s.count);
     std::iota(all.indexes.begin(), all.indexes.end(), 0U);
     const step_key key{spec.id, 0, i};
-    Inquire(q, key, s, all, false, eligible[key]);
+    Inquire(q, key, s, all, {}, eligible[key]);
   }
 }
 
@@ -101,24 +88,23 @@
 /// Asks about a step whose tasks wait. The first call names all workers, so
 /// that it is known who may run the step; later ones those with room whose
 /// tickets have expired.
-/// @param keep_valid renews tickets before they expire, also without room: a
-/// gang can then start as soon as there is room.
+/// For a gang that keeps room tickets are renewed before they expire, also
+/// where there is no room yet: it can then start as soon as there is.
 void dispatcher::impl::Inquire(const workflow::queue& q, const step_key& key,
                                const workflow::step& s,
-                               const waiting_tasks& waiting, bool keep_valid,
+                               const waiting_tasks& waiting, gang_outlook gang,
                                eligibility_view& view) {
   if (view.asking || clock.Now() < view.ask_after) return;
   const core::resources need = NeedOf(s);
   const bool is_first = view.tickets.empty() && view.refused.empty();
   std::vector<usable_worker> unknown;
   std::vector<usable_worker> renewed;
-  // Tasks that fit on workers known to be eligible: now, and on empty ones.
-  std::size_t room = 0;
+  // Tasks that fit on workers known to be eligible if those are empty.
   std::size_t capacity = 0;
   const core::time_point renew_at =
       clock.Now() + kTicketReserve +
-      (keep_valid ? AskCost(q, waiting.indexes.size() * kRenewedPerTask)
-                  : core::milliseconds(0));
+      (gang.keeps_room ? AskCost(q, waiting.indexes.size() * kRenewedPerTask)
+                       : core::milliseconds(0));
   for (const usable_worker& w : usable[q.pool]) {
     // Spares the look-ups below: most workers are full when many steps wait.
     if (!is_first && !s.gang && !w.room.Holds(need)) continue;
@@ -132,16 +118,15 @@
       continue;
     }
     capacity += Fits(w.a->about.capacity, need, s.count);
-    room += fits;
-    if (fits == 0 && !keep_valid) continue;
+    if (fits == 0 && !gang.keeps_room) continue;
     if (t->second.expires < renew_at) renewed.push_back(w);
   }
-  const bool gang_fits = !s.gang || room >= waiting.indexes.size();
+  const bool gang_fits = !s.gang || gang.fitting >= waiting.indexes.size();
   // A wide gang needs more workers than the first call has found.
   const bool too_few =
       s.gang && capacity < waiting.indexes.size() * kCapacityFactor;
   const bool ask_more = too_few && !unknown.empty();
-  if (!ask_more && !renewed.empty() && (gang_fits || keep_valid)) {
+  if (!ask_more && !renewed.empty() && (gang_fits || gang.keeps_room)) {
     const std::size_t wanted = waiting.indexes.size() * kRenewedPerTask;
     view.asking = true;
     view.renewed = Roomiest(std::move(renewed), wanted);
--- a/src/dispatch/link_server.cpp
+++ b/src/dispatch/link_server.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <utility>
 
+#include "dispatch/asker_pool.h"
 #include "mangoplank/wire/codec.h"
 
 namespace mangoplank::dispatch {
@@ -26,24 +27,12 @@
 constexpr core::milliseconds kAskSlack{700};
 /// Longest wait for an asker.
 constexpr core::milliseconds kAskWait{4'000};
-/// A call that takes longer leaves a part of the askers to others, so that
-/// short ones of urgent queues find one at once.
-constexpr core::milliseconds kLongCall{200};
-constexpr std::size_t kAskersPerReserved = 8;
-
 struct pending_ask {
   pending_ask(const asio::any_io_executor& e, core::clock& c) : done(e, c) {}
   std::optional<workflow::eligibility> result;
   core::event done;
 };
 
-/// A client that can ask the eligibility service. It has one call at a time,
-/// so that urgent calls need not wait for others given to it before.
-struct asker {
-  std::shared_ptr<wire::connection> link;
-  bool busy = false;
-};
-
 /// Place of a call among those that wait for an asker.
 struct ask_rank {
   std::int32_t priority = 0;
@@ -67,7 +56,6 @@
   awaitable<void> Answer(std::shared_ptr<wire::connection> c,
                          workflow::request r);
   message Greeting() const;
-  wire::connection* TakeAsker(bool is_long);
 
   wire::connection_context context;
   consensus::node& node;
@@ -76,7 +64,8 @@
   std::unique_ptr<wire::listener> listener;
   /// Connections of clients while this process leads.
   std::set<std::shared_ptr<wire::connection>> links;
-  std::map<wire::connection*, asker> askers;
+  asker_pool askers;
+  std::map<asker_id, std::shared_ptr<wire::connection>> asker_links;
   std::uint64_t next_id = 1;
   std::map<std::uint64_t, std::shared_ptr<pending_ask>> asks;
   /// Calls that wait for an asker. Only the first may take one: a long call
@@ -86,21 +75,6 @@
   core::event freed;
 };
 
-/// @return an asker without a call, marked as busy, or null.
-wire::connection* link_server::impl::TakeAsker(bool is_long) {
-  std::size_t idle = 0;
-  wire::connection* found = nullptr;
-  for (const auto& [c, a] : askers) {
-    if (a.busy || !a.link->IsOpen()) continue;
-    ++idle;
-    found = c;
-  }
-  const std::size_t reserved = is_long ? askers.size() / kAskersPerReserved : 0;
-  if (idle <= reserved) return nullptr;
-  askers[found].busy = true;
-  return found;
-}
-
 message link_server::impl::Greeting() const {
   const consensus::node_status s = node.Status();
   workflow::greeting g{self, {}, {}};
@@ -135,15 +109,18 @@
     co_await c->Receive();
     co_return;
   }
+  asker_id asker = 0;
   if (h->asks_eligibility) {
-    askers[c.get()] = {c, false};
+    asker = askers.Add();
+    asker_links[asker] = c;
     freed.NotifyAll();
   }
   links.insert(c);
   co_await ReadLoop(c);
   c->Close();
   links.erase(c);
-  askers.erase(c.get());
+  askers.Remove(asker);
+  asker_links.erase(asker);
 }
 
 /// Closes all connections when this process ceases to lead, so that the clients
@@ -214,32 +191,30 @@
   const auto self = impl_;
   core::clock& clock = self->context.clock;
   const std::uint64_t id = self->next_id++;
-  const bool is_long = cost > kLongCall;
   auto& line = self->line;
   const ask_rank rank{priority, id};
   line.insert(rank);
   const core::time_point give_up = clock.Now() + kAskWait;
-  wire::connection* used = nullptr;
-  while (used == nullptr && clock.Now() < give_up) {
-    if (*line.begin() == rank) used = self->TakeAsker(is_long);
-    if (used == nullptr) co_await self->freed.WaitUntil(give_up);
+  std::optional<asker_id> used;
+  while (!used && clock.Now() < give_up) {
+    if (*line.begin() == rank) used = self->askers.Take(cost);
+    if (!used) co_await self->freed.WaitUntil(give_up);
   }
   line.erase(rank);
   self->freed.NotifyAll();
-  if (used == nullptr) co_return std::nullopt;
+  if (!used) co_return std::nullopt;
   const core::time_point deadline = clock.Now() + cost + kAskSlack;
   const auto p = std::make_shared<pending_ask>(self->context.executor,
                                                self->context.clock);
   self->asks.emplace(id, p);
-  self->askers[used].link->Send(wire::Encode(message(
+  self->asker_links[*used]->Send(wire::Encode(message(
       workflow::ask_eligibility{id, std::move(step), std::move(workers)})));
   while (!p->result) {
     const bool notified = co_await p->done.WaitUntil(deadline);
     if (!notified) break;
   }
   self->asks.erase(id);
-  const auto it = self->askers.find(used);
-  if (it != self->askers.end()) it->second.busy = false;
+  self->askers.Release(*used, cost);
   self->freed.NotifyAll();
   if (!p->result || !p->result->known) co_return std::nullopt;
   co_return std::move(p->result->eligible);
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -21,6 +21,8 @@
 constexpr double kFeasible = 0.7;
 /// A job that takes this multiple of its objective is of no use any more.
 constexpr int kUseless = 3;
+/// A gang keeps room if this part of its tasks would fit now.
+constexpr double kNearlyFits = 0.5;
 /// Workers that the objective's call to the eligibility service names.
 constexpr int kUsualAsked = 30;
 /// Weight of each run in the mean run time of a queue.
@@ -31,18 +33,15 @@
          std::find(w.labels.begin(), w.labels.end(), label) != w.labels.end();
 }
 
-/// @return how many tasks of this need an empty worker holds.
-std::uint32_t FitsEmpty(const core::resources& capacity,
-                        const core::resources& need) {
-  std::int64_t n = INT32_MAX;
-  if (need.cpu_milli > 0) n = std::min(n, capacity.cpu_milli / need.cpu_milli);
-  if (need.memory_mib > 0) {
-    n = std::min(n, capacity.memory_mib / need.memory_mib);
+/// @return how many tasks of this need fit on the workers now, whether or not
+/// they have a valid ticket.
+std::size_t CountFitting(const std::vector<placing_option>& options,
+                         const core::resources& need) {
+  std::size_t n = 0;
+  for (const placing_option& o : options) {
+    n += Fits(o.where->room, need, o.most);
   }
-  if (need.accelerators > 0) {
-    n = std::min(n, capacity.accelerators / need.accelerators);
-  }
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(n, 0));
+  return n;
 }
 
 /// Longest chain of steps of one occurrence, in milliseconds.
@@ -64,6 +63,18 @@
 
 }  // namespace
 
+std::size_t Fits(const core::resources& room, const core::resources& need,
+                 std::size_t most) {
+  if (!room.Holds(need)) return 0;
+  auto n = static_cast<std::int64_t>(most);
+  if (need.cpu_milli > 0) n = std::min(n, room.cpu_milli / need.cpu_milli);
+  if (need.memory_mib > 0) n = std::min(n, room.memory_mib / need.memory_mib);
+  if (need.accelerators > 0) {
+    n = std::min(n, room.accelerators / need.accelerators);
+  }
+  return static_cast<std::size_t>(n);
+}
+
 core::resources NeedOf(const workflow::step& s) {
   core::resources need = s.need;
   if (s.filler) need.cpu_milli = 0;
@@ -158,6 +169,7 @@
 void dispatcher::impl::BeginRound() {
   usable.clear();
   usable_by_id.clear();
+  waiting_gangs.clear();
   const core::time_point now = clock.Now();
   for (const auto& [id, a] : agents) {
     const bool works = a->synced && !a->unanswered && a->clock_ms &&
@@ -236,6 +248,7 @@
   eligibility_view* const known = q.eligibility ? &eligible[key] : nullptr;
   std::vector<placing_option> options = OptionsFor(s, q, waiting, known);
   const core::resources need = NeedOf(s);
+  const std::size_t fitting = s.gang ? CountFitting(options, need) : 0;
   std::vector<planned_run> chosen;
   std::vector<placing_option*> taken;
   workflow::task_id id{j.spec.id, occurrence, step, 0};
@@ -253,14 +266,21 @@
         {best->where->a, {id, last + 1}, t == nullptr ? "" : t->text});
   }
   const bool all = chosen.size() == waiting.indexes.size();
-  const bool on_time = view == outlook::kOnTime;
+  bool keeps_room = false;
   if (!all && s.gang) {
     // A gang that is late anyway, or that its workers can't hold even when they
     // are empty, must not keep their room from others.
     const std::size_t rest = waiting.indexes.size() - chosen.size();
     std::size_t holds = 0;
     for (const placing_option& o : options) holds += o.most;
-    if (on_time && holds >= rest) {
+    const bool can_start = view == outlook::kOnTime && holds >= rest;
+    // Of the others only the first one, and those that lack little: room that
+    // is kept for many at once stands empty.
+    const auto wanted = static_cast<double>(waiting.indexes.size());
+    keeps_room =
+        can_start && (waiting_gangs.insert(q.pool).second ||
+                      static_cast<double>(fitting) >= wanted * kNearlyFits);
+    if (keeps_room) {
       KeepRoom(options, s, rest, q.priority);
     } else {
       for (placing_option* const o : taken) {
@@ -270,7 +290,7 @@
     chosen.clear();
   }
   if (!all && known != nullptr) {
-    Inquire(q, key, s, waiting, s.gang && on_time, *known);
+    Inquire(q, key, s, waiting, {keeps_room, fitting}, *known);
     if (!s.gang) {
       KeepAskedRoom(s, *known, waiting.indexes.size() - chosen.size());
     }
@@ -378,8 +398,7 @@
     const std::uint32_t n = used == waiting.placed.end() ? 0 : used->second;
     o.most = s.max_per_worker > n ? s.max_per_worker - n : 0;
   }
-  const auto fits = FitsEmpty(about.capacity, NeedOf(s));
-  o.most = std::min(o.most, fits);
+  o.most = static_cast<std::uint32_t>(Fits(about.capacity, NeedOf(s), o.most));
   if (o.most > 0) options.push_back(std::move(o));
 }
 
