A request tries no more shortly before its deadline

Cause: leader_client_test.TellsWhatIsKnownAtTheDeadline failed once in some 190 runs: a last try under a millisecond before the deadline could not be answered, so commit_unknown stood in place of the refusal that was known. Ruled out: a refusal that was overtaken (one connection, in order). Change: after a refusal no try begins in the last 20 ms.

--- a/src/control/leader_client_requests.cpp
+++ b/src/control/leader_client_requests.cpp
@@ -28,6 +28,10 @@
 
 namespace {
 
+/// A try after a refusal needs this time: one that can't be answered before the
+/// deadline only leaves open what was known.
+constexpr core::milliseconds kLeastTry{20};
+
 const propose_request* Change(const request& r) {
   const auto* const p = std::get_if<propose_request>(&r);
   return p == nullptr || p->dry_run ? nullptr : p;
@@ -140,6 +144,7 @@
   a.changes = change != nullptr;
   a.resendable = change == nullptr || !change->c.request.v.empty();
   while (!self->stopped && self->Now() < deadline) {
+    if (a.last && deadline - self->Now() < kLeastTry) break;
     const std::optional<std::size_t> target = self->Pick(a);
     if (!target) {
       co_await self->changed.WaitUntil(deadline);
--- a/src/control/leader_client_test.cpp
+++ b/src/control/leader_client_test.cpp
@@ -330,6 +330,20 @@
             core::failure(core::not_leader{}));
 }
 
+// Guards against a last try that can't be answered in time and leaves open what
+// was known before it.
+TEST_F(leader_client_test, TriesNoMoreShortlyBeforeTheDeadline) {
+  int late = 0;
+  a_->on_request = [&](auto link, numbered_request r) {
+    if (r.deadline < 15ms) ++late;
+    fake_control::Reply(
+        link, numbered_answer{r.number, core::failure(core::not_leader{})});
+  };
+  Open({a_->Process()});
+  for (int i = 0; i < 20; ++i) AskNow(Put("change"), 150ms + i * 2ms);
+  EXPECT_EQ(late, 0);
+}
+
 // Guards against gaps and repeats at a resumption, and against a full copy
 // that was cut off and counts as whole.
 TEST_F(leader_client_test, FeedResumesAfterTheLastRevision) {
