An ended job keeps no tasks

Change: once a job is final and no run is assigned, its tasks, what is left of its steps and its payload are dropped; the steps stay, as a late run's room is read from them. Measured: the new test fails before and passes after.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -93,7 +93,8 @@
   workflow::queue q;
   core::wall_time_ms accepted_at = 0;
   job_phase phase = job_phase::kQueued;
-  /// Tasks by occurrence, step and index.
+  /// Tasks by occurrence, step and index. Empty once the job is final and no
+  /// run is assigned, as are `left` and the payload.
   std::vector<task> tasks;
   /// Tasks that have not succeeded, by occurrence and step.
   std::vector<std::uint32_t> left;
@@ -105,7 +106,8 @@
   std::size_t StepAt(std::uint32_t occurrence, std::uint32_t step) const {
     return occurrence * spec.steps.size() + step;
   }
-  /// @return position in `tasks`, or no value if there is no such task.
+  /// @return position in `tasks`, or no value if there is no such task or the
+  /// job has ended and keeps none.
   std::optional<std::size_t> TaskAt(const task_id& id) const;
   /// @return whether all steps that this one depends on have succeeded.
   bool IsStepReady(std::uint32_t occurrence, std::uint32_t step) const;
@@ -160,6 +162,7 @@
   void On(const worker_removed& e);
   void On(const jobs_forgotten& e);
   void Finish(job& j, const task_id& id);
+  void EndRun(job& j, const run_ended& e);
   void EndRuns(const worker_key& w);
 
   void IndexQueues();
--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -38,7 +38,7 @@
 /// @return the need of a run's step; nothing if its job is not known.
 core::resources NeedIn(const workflow::state& s, const workflow::run_id& r) {
   const workflow::job* const j = s.FindJob(r.task.job);
-  if (j == nullptr || !j->TaskAt(r.task)) return {};
+  if (j == nullptr || r.task.step >= j->spec.steps.size()) return {};
   return NeedOf(j->spec.steps[r.task.step]);
 }
 
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -28,11 +28,24 @@
   });
 }
 
+/// Drops what a job needs no more once it is final and no run is assigned. Its
+/// record is kept for minutes, and there may be thousands.
+void DropTasks(job& j) {
+  if (!IsFinal(j.phase)) return;
+  const bool runs = std::any_of(
+      j.tasks.begin(), j.tasks.end(),
+      [](const task& t) { return t.phase == task_phase::kAssigned; });
+  if (runs) return;
+  j.tasks = {};
+  j.left = {};
+  j.spec.payload = {};
+}
+
 }  // namespace
 
 std::optional<std::size_t> job::TaskAt(const task_id& id) const {
-  if (id.occurrence >= Occurrences() || id.step >= spec.steps.size() ||
-      id.index >= spec.steps[id.step].count) {
+  if (tasks.empty() || id.occurrence >= Occurrences() ||
+      id.step >= spec.steps.size() || id.index >= spec.steps[id.step].count) {
     return std::nullopt;
   }
   std::size_t at = std::size_t{id.occurrence} * TasksOfOccurrence(spec);
@@ -81,6 +94,7 @@
   const auto it = jobs_.find(e.job);
   if (it == jobs_.end() || IsFinal(it->second.phase)) return;
   it->second.phase = job_phase::kCancelled;
+  DropTasks(it->second);
 }
 
 void state::On(const run_assigned& e) {
@@ -113,6 +127,11 @@
 void state::On(const run_ended& e) {
   if (!IsAssigned(e.run)) return;
   job& j = jobs_.find(e.run.task.job)->second;
+  EndRun(j, e);
+  DropTasks(j);
+}
+
+void state::EndRun(job& j, const run_ended& e) {
   const step& s = j.spec.steps[e.run.task.step];
   task& t = j.tasks[*j.TaskAt(e.run.task)];
   t.where = {};
@@ -151,6 +170,7 @@
       t.phase = task_phase::kWaiting;
       t.where = {};
     }
+    DropTasks(j);
   }
 }
 
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -221,6 +221,29 @@
   EXPECT_EQ(s.FindJob("j"), nullptr);
 }
 
+// Guards against snapshots and counts that grow with the tasks of all jobs that
+// ended lately, and against late events of such a job.
+TEST(WorkflowStateTest, AnEndedJobKeepsNoTasks) {
+  step two;
+  two.count = 2;
+  state s = MakeState({two});
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  s.Apply(run_assigned{RunOf(0, 1, 1), Key("w1", 1)});
+  s.Apply(job_cancelled{"j"});
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kStopped, ""});
+  EXPECT_TRUE(s.IsAssigned(RunOf(0, 1, 1)));
+  s.Apply(run_ended{RunOf(0, 1, 1), run_end::kStopped, ""});
+  EXPECT_TRUE(s.FindJob("j")->tasks.empty());
+  EXPECT_TRUE(s.FindJob("j")->spec.payload.empty());
+  // The room that a late run takes is still known.
+  EXPECT_EQ(s.FindJob("j")->spec.steps.size(), 1u);
+  s.Apply(run_ended{RunOf(0, 1, 1), run_end::kStopped, ""});
+  s.Apply(run_assigned{RunOf(0, 1, 2), Key("w1", 1)});
+  s.Apply(worker_removed{Key("w1", 1)});
+  EXPECT_FALSE(s.IsAssigned(RunOf(0, 1, 2)));
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kCancelled);
+}
+
 // Guards against fields that a snapshot or an entry of the log leaves out.
 TEST(WorkflowStateTest, ImagesAndEventsSurviveTheirEncoding) {
   step all;
