Conversions of workflow messages in a file of their own

Cause: convert_workflow.cpp had grown to 644 lines, and its reader of lists was a copy of ReadList. Change: messages between processes are in convert_workflow_messages.cpp; what both files use is declared in convert_workflow.h; ReadList serves both.

--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -10,30 +10,14 @@
 static void Read(std::uint32_t r, std::uint32_t& v, budget&) { v = r; }
 static void Read(schema::WorkflowStep::Reader r, workflow::step& v,
                  budget& left);
-static void Read(schema::JobSpec::Reader r, workflow::job_spec& v,
-                 budget& left);
 static void Read(schema::QueueSpec::Reader r, workflow::queue& v, budget& left);
 static void Read(schema::PoolSpec::Reader r, workflow::pool& v, budget& left);
-static void Read(schema::Catalog::Reader r, workflow::catalog& v, budget& left);
-static void Read(schema::WorkerKey::Reader r, workflow::worker_key& v,
-                 budget& left);
-static void Read(schema::WorkerSpec::Reader r, workflow::worker& v,
-                 budget& left);
-static void Read(schema::WorkflowTaskId::Reader r, workflow::task_id& v,
-                 budget& left);
 static void Read(schema::RunId::Reader r, workflow::run_id& v, budget& left);
 static void Read(schema::WorkflowEvent::Reader r, workflow::event& v,
                  budget& left);
 static void Read(schema::WorkflowTask::Reader r, workflow::task& v,
                  budget& left);
 static void Read(schema::WorkflowJob::Reader r, workflow::job& v, budget& left);
-static void Read(schema::EligibleWorker::Reader r, workflow::eligible_worker& v,
-                 budget& left);
-template <class Tag>
-static void Read(capnp::Text::Reader r, core::named_id<Tag>& v, budget&) {
-  v.v = String(r);
-}
-
 template <class List, class T>
 static void SetAll(List list, const std::vector<T>& values) {
   for (std::size_t i = 0; i < values.size(); ++i) {
@@ -48,13 +32,6 @@
   }
 }
 
-template <class T, class ListReader>
-static void ReadAll(ListReader list, std::vector<T>& values, budget& left) {
-  left.Take(list.size(), sizeof(T));
-  values.reserve(list.size());
-  for (const auto item : list) Read(item, values.emplace_back(), left);
-}
-
 static void Write(const workflow::step& v, schema::WorkflowStep::Builder b) {
   b.setCount(v.count);
   Write(v.need, b.initNeed());
@@ -75,7 +52,7 @@
   v.count = r.getCount();
   Read(r.getNeed(), v.need, left);
   v.estimate_ms = r.getEstimateMs();
-  ReadAll(r.getDependsOn(), v.depends_on, left);
+  ReadList(r.getDependsOn(), v.depends_on, left);
   v.gang = r.getGang();
   v.same_rack = r.getSameRack();
   v.required_label = String(r.getRequiredLabel());
@@ -86,7 +63,7 @@
   v.filler = r.getFiller();
 }
 
-static void Write(const workflow::job_spec& v, schema::JobSpec::Builder b) {
+void Write(const workflow::job_spec& v, schema::JobSpec::Builder b) {
   b.setId(Text(v.id));
   b.setPayload(Data(v.payload));
   auto steps = b.initSteps(v.steps.size());
@@ -98,11 +75,10 @@
   b.setIntervalMs(v.interval_ms);
 }
 
-static void Read(schema::JobSpec::Reader r, workflow::job_spec& v,
-                 budget& left) {
+void Read(schema::JobSpec::Reader r, workflow::job_spec& v, budget& left) {
   v.id = String(r.getId());
   v.payload = String(r.getPayload());
-  ReadAll(r.getSteps(), v.steps, left);
+  ReadList(r.getSteps(), v.steps, left);
   v.repeat_count = r.getRepeatCount();
   v.first_at = r.getFirstAt();
   v.interval_ms = r.getIntervalMs();
@@ -140,7 +116,7 @@
       r.getDecisionMs(), r.getPerWorkerMs(), r.getTicketLifeMs()};
 }
 
-static void Write(const workflow::catalog& v, schema::Catalog::Builder b) {
+void Write(const workflow::catalog& v, schema::Catalog::Builder b) {
   b.setVersion(v.version);
   auto queues = b.initQueues(v.queues.size());
   for (std::size_t i = 0; i < v.queues.size(); ++i) {
@@ -162,26 +138,24 @@
   v.standby = r.getStandby();
 }
 
-static void Read(schema::Catalog::Reader r, workflow::catalog& v,
-                 budget& left) {
+void Read(schema::Catalog::Reader r, workflow::catalog& v, budget& left) {
   v.version = r.getVersion();
-  ReadAll(r.getQueues(), v.queues, left);
-  ReadAll(r.getPools(), v.pools, left);
+  ReadList(r.getQueues(), v.queues, left);
+  ReadList(r.getPools(), v.pools, left);
   v.document = String(r.getDocument());
 }
 
-static void Write(const workflow::worker_key& v, schema::WorkerKey::Builder b) {
+void Write(const workflow::worker_key& v, schema::WorkerKey::Builder b) {
   b.setId(Text(v.id.v));
   b.setBorn(v.born);
 }
 
-static void Read(schema::WorkerKey::Reader r, workflow::worker_key& v,
-                 budget&) {
+void Read(schema::WorkerKey::Reader r, workflow::worker_key& v, budget&) {
   v.id.v = String(r.getId());
   v.born = r.getBorn();
 }
 
-static void Write(const workflow::worker& v, schema::WorkerSpec::Builder b) {
+void Write(const workflow::worker& v, schema::WorkerSpec::Builder b) {
   Write(v.key, b.initKey());
   Write(v.address, b.initAddress());
   b.setPool(Text(v.pool));
@@ -191,27 +165,24 @@
   b.setDraining(v.draining);
 }
 
-static void Read(schema::WorkerSpec::Reader r, workflow::worker& v,
-                 budget& left) {
+void Read(schema::WorkerSpec::Reader r, workflow::worker& v, budget& left) {
   Read(r.getKey(), v.key, left);
   Read(r.getAddress(), v.address, left);
   v.pool = String(r.getPool());
   v.zone = String(r.getZone());
   Read(r.getCapacity(), v.capacity, left);
-  ReadAll(r.getLabels(), v.labels, left);
+  ReadList(r.getLabels(), v.labels, left);
   v.draining = r.getDraining();
 }
 
-static void Write(const workflow::task_id& v,
-                  schema::WorkflowTaskId::Builder b) {
+void Write(const workflow::task_id& v, schema::WorkflowTaskId::Builder b) {
   b.setJob(Text(v.job));
   b.setOccurrence(v.occurrence);
   b.setStep(v.step);
   b.setIndex(v.index);
 }
 
-static void Read(schema::WorkflowTaskId::Reader r, workflow::task_id& v,
-                 budget&) {
+void Read(schema::WorkflowTaskId::Reader r, workflow::task_id& v, budget&) {
   v = {String(r.getJob()), r.getOccurrence(), r.getStep(), r.getIndex()};
 }
 
@@ -311,7 +282,7 @@
     }
     case WorkflowEvent::JOBS_FORGOTTEN: {
       workflow::jobs_forgotten v;
-      ReadAll(r.getJobsForgotten(), v.jobs, left);
+      ReadList(r.getJobsForgotten(), v.jobs, left);
       return v;
     }
   }
@@ -356,246 +327,8 @@
   Read(r.getQueue(), v.q, left);
   v.accepted_at = r.getAcceptedAt();
   v.phase = Enumerator(r.getPhase(), workflow::job_phase::kCancelled);
-  ReadAll(r.getTasks(), v.tasks, left);
-  ReadAll(r.getLeft(), v.left, left);
-}
-
-static void Write(const workflow::job_address& v,
-                  schema::JobAddress::Builder b) {
-  b.setHost(Text(v.host));
-  b.setPath(Text(v.path));
-}
-
-static workflow::job_address ReadAddress(schema::JobAddress::Reader r) {
-  return {String(r.getHost()), String(r.getPath())};
-}
-
-static void WriteRequest(const workflow::submit_job& v,
-                         schema::WorkflowRequest::Builder b) {
-  auto g = b.initSubmit();
-  Write(v.to, g.initTo());
-  Write(v.spec, g.initSpec());
-}
-static void WriteRequest(const workflow::get_job& v,
-                         schema::WorkflowRequest::Builder b) {
-  Write(v.to, b.initGet());
-}
-static void WriteRequest(const workflow::cancel_job& v,
-                         schema::WorkflowRequest::Builder b) {
-  Write(v.to, b.initCancel());
-}
-static void WriteRequest(const workflow::announce_worker& v,
-                         schema::WorkflowRequest::Builder b) {
-  auto g = b.initAnnounce();
-  Write(v.w, g.initWorker());
-  g.setClockMs(v.clock_ms);
-}
-static void WriteRequest(const workflow::remove_worker& v,
-                         schema::WorkflowRequest::Builder b) {
-  Write(workflow::worker_key{v.id, v.born}, b.initRemoveWorker());
-}
-static void WriteRequest(const workflow::declare_catalog& v,
-                         schema::WorkflowRequest::Builder b) {
-  Write(v.c, b.initDeclare());
-}
-static void WriteRequest(const workflow::read_catalog&,
-                         schema::WorkflowRequest::Builder b) {
-  b.setReadCatalog();
-}
-static void WriteRequest(const workflow::join_members& v,
-                         schema::WorkflowRequest::Builder b) {
-  auto g = b.initJoinMembers();
-  g.setId(Text(v.id.v));
-  Write(v.address, g.initAddress());
-}
-
-static workflow::request_body ReadRequest(schema::WorkflowRequest::Reader r,
-                                          budget& left) {
-  using schema::WorkflowRequest;
-  switch (r.which()) {
-    case WorkflowRequest::SUBMIT: {
-      workflow::submit_job v;
-      v.to = ReadAddress(r.getSubmit().getTo());
-      Read(r.getSubmit().getSpec(), v.spec, left);
-      return v;
-    }
-    case WorkflowRequest::GET:
-      return workflow::get_job{ReadAddress(r.getGet())};
-    case WorkflowRequest::CANCEL:
-      return workflow::cancel_job{ReadAddress(r.getCancel())};
-    case WorkflowRequest::ANNOUNCE: {
-      workflow::announce_worker v;
-      Read(r.getAnnounce().getWorker(), v.w, left);
-      v.clock_ms = r.getAnnounce().getClockMs();
-      return v;
-    }
-    case WorkflowRequest::REMOVE_WORKER: {
-      workflow::worker_key key;
-      Read(r.getRemoveWorker(), key, left);
-      return workflow::remove_worker{key.id, key.born};
-    }
-    case WorkflowRequest::DECLARE: {
-      workflow::declare_catalog v;
-      Read(r.getDeclare(), v.c, left);
-      return v;
-    }
-    case WorkflowRequest::READ_CATALOG:
-      return workflow::read_catalog{};
-    case WorkflowRequest::JOIN_MEMBERS: {
-      workflow::join_members v;
-      v.id.v = String(r.getJoinMembers().getId());
-      Read(r.getJoinMembers().getAddress(), v.address, left);
-      return v;
-    }
-  }
-  KJ_FAIL_REQUIRE("unknown alternative of workflow request");
-}
-
-static void WriteAnswer(const workflow::accepted&,
-                        schema::WorkflowAnswer::Builder b) {
-  b.setAccepted();
-}
-static void WriteAnswer(const workflow::job_view& v,
-                        schema::WorkflowAnswer::Builder b) {
-  b.setJob(Number(v.phase));
-}
-static void WriteAnswer(const workflow::no_such_job&,
-                        schema::WorkflowAnswer::Builder b) {
-  b.setNoSuchJob();
-}
-static void WriteAnswer(const workflow::queue_view& v,
-                        schema::WorkflowAnswer::Builder b) {
-  b.setQueued(v.queued);
-}
-static void WriteAnswer(const workflow::catalog_view& v,
-                        schema::WorkflowAnswer::Builder b) {
-  auto g = b.initCatalog();
-  g.setVersion(v.version);
-  g.setDocument(Data(v.document));
-}
-static void WriteAnswer(const core::failure& v,
-                        schema::WorkflowAnswer::Builder b) {
-  Write(v, b.initFailure());
-}
-
-static workflow::answer_body ReadAnswer(schema::WorkflowAnswer::Reader r,
-                                        budget& left) {
-  using schema::WorkflowAnswer;
-  switch (r.which()) {
-    case WorkflowAnswer::ACCEPTED:
-      return workflow::accepted{};
-    case WorkflowAnswer::JOB:
-      return workflow::job_view{
-          Enumerator(r.getJob(), workflow::job_phase::kCancelled)};
-    case WorkflowAnswer::NO_SUCH_JOB:
-      return workflow::no_such_job{};
-    case WorkflowAnswer::QUEUED:
-      return workflow::queue_view{r.getQueued()};
-    case WorkflowAnswer::CATALOG:
-      return workflow::catalog_view{r.getCatalog().getVersion(),
-                                    String(r.getCatalog().getDocument())};
-    case WorkflowAnswer::FAILURE: {
-      core::failure f;
-      Read(r.getFailure(), f, left);
-      return f;
-    }
-  }
-  KJ_FAIL_REQUIRE("unknown alternative of workflow answer");
-}
-
-static void WriteMessage(const workflow::hello& v,
-                         schema::WorkflowMessage::Builder b) {
-  auto g = b.initHello();
-  g.setName(Text(v.name));
-  g.setAsksEligibility(v.asks_eligibility);
-}
-static void WriteMessage(const workflow::greeting& v,
-                         schema::WorkflowMessage::Builder b) {
-  auto g = b.initGreeting();
-  g.setSelf(Text(v.self.v));
-  g.setLeader(Text(v.leader.v));
-  auto members = g.initMembers(v.members.size());
-  for (std::size_t i = 0; i < v.members.size(); ++i) {
-    members.set(static_cast<unsigned>(i), Text(v.members[i].v));
-  }
-}
-static void WriteMessage(const workflow::request& v,
-                         schema::WorkflowMessage::Builder b) {
-  auto g = b.initRequest();
-  g.setId(v.id);
-  std::visit([&](const auto& body) { WriteRequest(body, g); }, v.body);
-}
-static void WriteMessage(const workflow::answer& v,
-                         schema::WorkflowMessage::Builder b) {
-  auto g = b.initAnswer();
-  g.setId(v.id);
-  std::visit([&](const auto& body) { WriteAnswer(body, g); }, v.body);
-}
-static void WriteMessage(const workflow::ask_eligibility& v,
-                         schema::WorkflowMessage::Builder b) {
-  auto g = b.initAskEligibility();
-  g.setId(v.id);
-  Write(v.step, g.initStep());
-  auto workers = g.initWorkers(v.workers.size());
-  for (std::size_t i = 0; i < v.workers.size(); ++i) {
-    workers.set(static_cast<unsigned>(i), Text(v.workers[i].v));
-  }
-}
-static void WriteMessage(const workflow::eligibility& v,
-                         schema::WorkflowMessage::Builder b) {
-  auto g = b.initEligibility();
-  g.setId(v.id);
-  g.setKnown(v.known);
-  auto rows = g.initEligible(v.eligible.size());
-  for (std::size_t i = 0; i < v.eligible.size(); ++i) {
-    rows[static_cast<unsigned>(i)].setId(Text(v.eligible[i].id.v));
-    rows[static_cast<unsigned>(i)].setTicket(Text(v.eligible[i].ticket));
-  }
-}
-
-static void Read(schema::EligibleWorker::Reader r, workflow::eligible_worker& v,
-                 budget&) {
-  v = {{String(r.getId())}, String(r.getTicket())};
-}
-
-static workflow::message ReadMessage(schema::WorkflowMessage::Reader r,
-                                     budget& left) {
-  using schema::WorkflowMessage;
-  switch (r.which()) {
-    case WorkflowMessage::HELLO:
-      return workflow::hello{String(r.getHello().getName()),
-                             r.getHello().getAsksEligibility()};
-    case WorkflowMessage::GREETING: {
-      workflow::greeting v;
-      v.self.v = String(r.getGreeting().getSelf());
-      v.leader.v = String(r.getGreeting().getLeader());
-      ReadAll(r.getGreeting().getMembers(), v.members, left);
-      return v;
-    }
-    case WorkflowMessage::REQUEST:
-      return workflow::request{r.getRequest().getId(),
-                               ReadRequest(r.getRequest(), left)};
-    case WorkflowMessage::ANSWER:
-      return workflow::answer{r.getAnswer().getId(),
-                              ReadAnswer(r.getAnswer(), left)};
-    case WorkflowMessage::ASK_ELIGIBILITY: {
-      const auto g = r.getAskEligibility();
-      workflow::ask_eligibility v;
-      v.id = g.getId();
-      Read(g.getStep(), v.step, left);
-      ReadAll(g.getWorkers(), v.workers, left);
-      return v;
-    }
-    case WorkflowMessage::ELIGIBILITY: {
-      const auto g = r.getEligibility();
-      workflow::eligibility v;
-      v.id = g.getId();
-      v.known = g.getKnown();
-      ReadAll(g.getEligible(), v.eligible, left);
-      return v;
-    }
-  }
-  KJ_FAIL_REQUIRE("unknown alternative of workflow message");
+  ReadList(r.getTasks(), v.tasks, left);
+  ReadList(r.getLeft(), v.left, left);
 }
 
 void Write(const std::vector<workflow::event>& v,
@@ -610,7 +343,7 @@
 
 void Read(schema::WorkflowEvents::Reader r, std::vector<workflow::event>& v,
           budget& left) {
-  ReadAll(r.getEvents(), v, left);
+  ReadList(r.getEvents(), v, left);
 }
 
 void Write(const workflow::state::image& v, schema::WorkflowImage::Builder b) {
@@ -628,17 +361,8 @@
 void Read(schema::WorkflowImage::Reader r, workflow::state::image& v,
           budget& left) {
   Read(r.getCatalog(), v.c, left);
-  ReadAll(r.getJobs(), v.jobs, left);
-  ReadAll(r.getWorkers(), v.workers, left);
-}
-
-void Write(const workflow::message& v, schema::WorkflowMessage::Builder b) {
-  std::visit([&](const auto& m) { WriteMessage(m, b); }, v);
-}
-
-void Read(schema::WorkflowMessage::Reader r, workflow::message& v,
-          budget& left) {
-  v = ReadMessage(r, left);
+  ReadList(r.getJobs(), v.jobs, left);
+  ReadList(r.getWorkers(), v.workers, left);
 }
 
 }  // namespace mangoplank::wire
--- a/src/wire/convert_workflow.h
+++ b/src/wire/convert_workflow.h
@@ -11,6 +11,17 @@
 /// Conversions of the values of workflows; see convert.h.
 namespace mangoplank::wire {
 
+void Write(const workflow::job_spec& v, schema::JobSpec::Builder b);
+void Read(schema::JobSpec::Reader r, workflow::job_spec& v, budget& left);
+void Write(const workflow::catalog& v, schema::Catalog::Builder b);
+void Read(schema::Catalog::Reader r, workflow::catalog& v, budget& left);
+void Write(const workflow::worker_key& v, schema::WorkerKey::Builder b);
+void Read(schema::WorkerKey::Reader r, workflow::worker_key& v, budget& left);
+void Write(const workflow::worker& v, schema::WorkerSpec::Builder b);
+void Read(schema::WorkerSpec::Reader r, workflow::worker& v, budget& left);
+void Write(const workflow::task_id& v, schema::WorkflowTaskId::Builder b);
+void Read(schema::WorkflowTaskId::Reader r, workflow::task_id& v, budget& left);
+
 void Write(const std::vector<workflow::event>& v,
            schema::WorkflowEvents::Builder b);
 void Read(schema::WorkflowEvents::Reader r, std::vector<workflow::event>& v,
