A change between two rounds is not lost; gangs ask about others with room

Cause: a change that came within 10 ms after a round waited for the next timer, up to 100 ms. A gang that lacked room renewed the tickets of workers that were full before it asked about others with room, and many gangs kept room that stood empty. Change: Wake() marks that a round is due; gangs ask about workers with room first; apart from the first gang those keep room that lack a quarter or less.

--- a/src/dispatch/agent.cpp
+++ b/src/dispatch/agent.cpp
@@ -208,7 +208,7 @@
   a->recorded_ends = std::max(a->recorded_ends, last);
   if (!a->synced) {
     a->synced = true;
-    work.NotifyAll();
+    Wake();
   }
   co_return true;
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -44,6 +44,12 @@
   asio::co_spawn(executor, std::move(task), asio::detached);
 }
 
+/// Asks for a round, also if the loop is not waiting for it.
+void dispatcher::impl::Wake() {
+  round_due = true;
+  work.NotifyAll();
+}
+
 void dispatcher::impl::Start() {
   for (const auto& [id, j] : log.State().Jobs()) TrackJob(j);
   SyncWorkers();
@@ -58,7 +64,7 @@
     a->gone = true;
     a->wake.NotifyAll();
   }
-  work.NotifyAll();
+  Wake();
 }
 
 /// Follows a job that this term has not seen yet.
@@ -129,7 +135,7 @@
   for (const auto& [id, w] : known) {
     if (!agents.contains(id)) AddWorker(w);
   }
-  work.NotifyAll();
+  Wake();
 }
 
 /// Follows a run of an earlier life of a worker in the present one. Its start
@@ -184,7 +190,7 @@
                  [&](const workflow::worker_removed&) { SyncWorkers(); },
                  [](const auto&) {}},
       e);
-  work.NotifyAll();
+  Wake();
 }
 
 void dispatcher::impl::OnRunEnded(const workflow::run_ended& e) {
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -164,6 +164,7 @@
   void Start();
   void Stop();
   void Spawn(core::awaitable<void> task);
+  void Wake();
   void OnEvent(const workflow::event& e);
   void OnHeard(const workflow::worker_key& key, std::int64_t clock_ms);
   void SyncWorkers();
@@ -274,6 +275,8 @@
   /// Ended jobs in the order in which their records are dropped.
   std::vector<std::pair<core::time_point, std::string>> ended_jobs;
   core::event work;
+  /// Something has changed since the last round began.
+  bool round_due = false;
 };
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -632,6 +632,60 @@
   EXPECT_EQ(workers_.starts.size(), 110u);
 }
 
+// Guards against a change that comes between two rounds and waits for the next
+// timer: a start would be 100 ms late.
+TEST_F(DispatcherTest, AChangeBetweenRoundsIsNotLost) {
+  AddWorker("w1");
+  Lead();
+  Submit("a", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(1));
+  Submit("b", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(30));
+  EXPECT_EQ(workers_.starts.size(), 2u);
+}
+
+// Guards against a gang that waits for room on the workers that its first call
+// has found eligible, while others that it may use are free.
+TEST_F(DispatcherTest, AGangAsksAboutOthersThatHaveRoom) {
+  for (int i = 0; i < 100; ++i) {
+    workflow::worker w;
+    w.key = {{"a" + std::to_string(i)}, 1};
+    w.pool = "pool";
+    w.capacity = {16'000, 100'000, 0};
+    if (i < 4) {
+      w.capacity.cpu_milli = 24'000;
+      w.labels = {"x"};
+      eligibility_.eligible.insert(w.key.id);
+    }
+    log_.Apply(workflow::worker_announced{w});
+  }
+  for (const char* id : {"b1", "b2"}) {
+    AddWorker(id);
+    eligibility_.eligible.insert({id});
+  }
+  urgent_ = queue_;
+  urgent_.name = "urgent";
+  urgent_.path_prefix = "/urgent/";
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 300};
+  Lead();
+  workflow::job_spec spec;
+  spec.id = "gang";
+  spec.steps = {Step(2, 8'000)};
+  spec.steps[0].gang = true;
+  dispatcher_->Prepare(spec, queue_);
+  RunFor(milliseconds(400));
+  workflow::step filling = Step(12, 8'000);
+  filling.required_label = "x";
+  Submit("filling", {filling}, urgent_);
+  RunFor(milliseconds(100));
+  ASSERT_EQ(CountStarts("filling"), 12u);
+  Submit("gang", spec.steps, queue_);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(CountStarts("gang"), 2u);
+  ASSERT_GE(eligibility_.asked.size(), 2u);
+  EXPECT_EQ(eligibility_.asked[1].size(), 2u);
+}
+
 // Guards against a task that is never placed again: while a run that was given
 // up and carried out late held its place, its job was left out of the rounds
 // (seen in a hunt on karamanlis-counts, mix, seed 777966546792).
--- a/src/dispatch/inquiry.cpp
+++ b/src/dispatch/inquiry.cpp
@@ -111,20 +111,23 @@
     const core::worker_id& id = w.a->about.key.id;
     if (view.refused.contains(id) || !w.a->about.capacity.Holds(need)) continue;
     const auto t = view.tickets.find(id);
-    // Room that a step of a higher rank asks about is not there for others.
-    const std::size_t fits = Fits(s.gang ? w.free : w.room, need, s.count);
     if (t == view.tickets.end()) {
-      unknown.push_back(w);
+      const bool has_room = w.room.Holds(need);
+      if (has_room || is_first) unknown.push_back(w);
       continue;
     }
+    // Room that a step of a higher rank asks about is not there for others.
+    const std::size_t fits = Fits(s.gang ? w.free : w.room, need, s.count);
     capacity += Fits(w.a->about.capacity, need, s.count);
     if (fits == 0 && !gang.keeps_room) continue;
     if (t->second.expires < renew_at) renewed.push_back(w);
   }
   const bool gang_fits = !s.gang || gang.fitting >= waiting.indexes.size();
-  // A wide gang needs more workers than the first call has found.
+  // Others that have room now are better than a wait for room on those that are
+  // known; a wide gang needs more of them than the first call has found.
   const bool too_few =
-      s.gang && capacity < waiting.indexes.size() * kCapacityFactor;
+      s.gang && (gang.fitting < waiting.indexes.size() ||
+                 capacity < waiting.indexes.size() * kCapacityFactor);
   const bool ask_more = too_few && !unknown.empty();
   if (!ask_more && !renewed.empty() && (gang_fits || gang.keeps_room)) {
     const std::size_t wanted = waiting.indexes.size() * kRenewedPerTask;
@@ -180,7 +183,7 @@
     view.tickets[e.id] = {e.ticket, expires};
   }
   for (const core::worker_id& id : left) view.refused.insert(id);
-  work.NotifyAll();
+  Wake();
 }
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -22,7 +22,7 @@
 /// A job that takes this multiple of its objective is of no use any more.
 constexpr int kUseless = 3;
 /// A gang keeps room if this part of its tasks would fit now.
-constexpr double kNearlyFits = 0.5;
+constexpr double kNearlyFits = 0.75;
 /// Workers that the objective's call to the eligibility service names.
 constexpr int kUsualAsked = 30;
 /// Weight of each run in the mean run time of a queue.
@@ -90,10 +90,11 @@
 awaitable<void> dispatcher::impl::PlanLoop() {
   const auto self = shared_from_this();
   while (!stopped) {
+    round_due = false;
     PlanRound();
     co_await core::SleepFor(clock, kRoundInterval);
     if (stopped) co_return;
-    co_await work.WaitUntil(clock.Now() + kIdleRound);
+    if (!round_due) co_await work.WaitUntil(clock.Now() + kIdleRound);
   }
 }
 
