Log what a count of waiting jobs rests on

Change: one queue_counted line for each count, with the answer, the jobs that are kept out of it only by assigned runs, the versions of catalog and log, and the age of the leader's confirmation.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -140,6 +140,9 @@
   const worker_key* FindAssignedWorker(const run_id& run) const;
   /// @return the number of jobs of a queue that have not started any task.
   std::size_t CountQueued(const std::string& queue) const;
+  /// @return the number of unfinished jobs of a queue that have assigned runs
+  /// and no results: the workers may not have started any of them.
+  std::size_t CountOnlyAssigned(const std::string& queue) const;
 
   /// Content of a snapshot.
   struct image {
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -173,7 +173,16 @@
       machine.State().Route(request.address.host, request.address.path);
   if (queue == nullptr) co_return QueueNotFound(request.address);
   if (request.address.path == queue->path_prefix) {
-    co_return workflow::queue_view{machine.State().CountQueued(queue->name)};
+    const workflow::queue_view view{machine.State().CountQueued(queue->name)};
+    const auto confirmed_before = clock.Now() - node.LeadershipConfirmedAt();
+    spdlog::info(
+        "queue_counted queue={} catalog={} pending={} only_assigned={} "
+        "applied={} leader_confirmed_ms={}",
+        queue->name, machine.State().Catalog().version, view.queued,
+        machine.State().CountOnlyAssigned(queue->name), node.Status().applied,
+        std::chrono::duration_cast<core::milliseconds>(confirmed_before)
+            .count());
+    co_return view;
   }
   const workflow::job* const job = FindJob(*queue, request.address);
   if (job == nullptr) co_return workflow::job_not_found{};
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -29,14 +29,26 @@
   });
 }
 
+bool HasAssignedRun(const job& job) {
+  return std::any_of(job.tasks.begin(), job.tasks.end(), [](const task& task) {
+    return task.phase == task_phase::kAssigned;
+  });
+}
+
+/// @return whether the end of a run or a checkpoint shows that a task of the
+/// job has started.
+bool HasResults(const job& job) {
+  return std::any_of(job.tasks.begin(), job.tasks.end(), [](const task& task) {
+    return task.phase == task_phase::kDone || task.failures > 0 ||
+           !task.checkpoint.empty();
+  });
+}
+
 /// Drops the tasks and the payload of a job that is final and has no assigned
 /// run. Records are kept for minutes, and there may be thousands of them.
 void DropTasks(job& job) {
   if (!IsFinal(job.phase)) return;
-  const bool has_runs = std::any_of(
-      job.tasks.begin(), job.tasks.end(),
-      [](const task& task) { return task.phase == task_phase::kAssigned; });
-  if (has_runs) return;
+  if (HasAssignedRun(job)) return;
   job.tasks = {};
   job.unfinished_tasks = {};
   job.spec.payload = {};
@@ -213,10 +225,7 @@
   for (const std::string& id : event.jobs) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end() || !IsFinal(it->second.phase)) continue;
-    const bool has_runs = std::any_of(
-        it->second.tasks.begin(), it->second.tasks.end(),
-        [](const task& task) { return task.phase == task_phase::kAssigned; });
-    if (!has_runs) jobs_.erase(it);
+    if (!HasAssignedRun(it->second)) jobs_.erase(it);
   }
 }
 
@@ -266,6 +275,15 @@
       }));
 }
 
+std::size_t state::CountOnlyAssigned(const std::string& queue) const {
+  return static_cast<std::size_t>(
+      std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
+        const job& job = entry.second;
+        return job.queue.name == queue && !IsFinal(job.phase) &&
+               HasAssignedRun(job) && !HasResults(job);
+      }));
+}
+
 state::image state::Image() const {
   image image;
   image.catalog = catalog_;
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -208,6 +208,19 @@
   EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
 }
 
+// Guards against a log that can't tell jobs whose runs are only assigned from
+// those that a worker has started.
+TEST(WorkflowStateTest, CountsJobsWithAssignedRunsAndNoResults) {
+  state s = MakeState({step{}});
+  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue().name), 0u);
+  s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue().name), 1u);
+  EXPECT_EQ(s.CountOnlyAssigned("other"), 0u);
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kStopped, "half"});
+  s.Apply(run_assigned{RunOf(0, 0, 2), Key("w1", 1)});
+  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue().name), 0u);
+}
+
 // Guards against removing the record of a job while a run may still be active.
 TEST(WorkflowStateTest, OnlyEndedJobsWithoutRunsArePruned) {
   state s = MakeState({step{}});
