--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -111,6 +111,34 @@
                                      workflow::job_phase::kCancelled}));
 }
 
+// Guards against a job that is reported as running, and left out of the count
+// of queued jobs, although no worker has confirmed a start of it: the start
+// order waits for the end of a silent worker's lease.
+TEST_F(ServiceTest, AJobIsQueuedUntilAWorkerConfirmsAStart) {
+  Declare(1, "/q/");
+  workflow::worker_heartbeat heartbeat;
+  heartbeat.worker.key = {{"w"}, 5};
+  heartbeat.worker.pool = "pool";
+  heartbeat.worker.capacity = {8'000, 8'000, 0};
+  heartbeat.clock_ms = workers_.ClockMs();
+  Handle(heartbeat);
+  cluster_.RunFor(milliseconds(200));
+  workers_.silent.insert({"w"});
+  Handle(Submit("/q/1"));
+  cluster_.RunFor(seconds(5));
+  EXPECT_EQ(workers_.starts.size(), 1u);
+  EXPECT_EQ(Handle(Get("/q/")), workflow::answer_body(workflow::queue_view{1}));
+  EXPECT_EQ(
+      Handle(Get("/q/1")),
+      workflow::answer_body(workflow::job_view{workflow::job_phase::kQueued}));
+  workers_.silent.clear();
+  cluster_.RunFor(seconds(5));
+  EXPECT_EQ(Handle(Get("/q/")), workflow::answer_body(workflow::queue_view{0}));
+  EXPECT_EQ(
+      Handle(Get("/q/1")),
+      workflow::answer_body(workflow::job_view{workflow::job_phase::kRunning}));
+}
+
 // Guards against returning an older declaration, or one with other content
 // under the current version.
 TEST_F(ServiceTest, ReturnsTheHighestCatalogVersion) {
