Count a job as started once a worker has confirmed a start

Cause: the first run of a task counted as started from the commit of its assignment on, before any order was sent. A worker that is cut off or has crashed without a reset answers no order; the leader then waits for the end of its lease, 6.2 s, and all that time the job waits and was not counted. Every later run counted as not started, although it was active. The state held an intention and was read as a fact.

Ends of runs that can't have ended without starting count as well. A new leader learns it from the first reports. The replaced state test took an assignment for a start and is stricter now: a job is queued after every assignment until it has started.

Conclusion: the answer rests on what workers have confirmed, so that it can't leave out jobs that wait for a silent worker.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -40,6 +40,11 @@
   worker_key worker;
   friend bool operator==(const run_assigned&, const run_assigned&) = default;
 };
+/// A worker has confirmed that it has started a task of the job.
+struct job_started {
+  std::string job;
+  friend bool operator==(const job_started&, const job_started&) = default;
+};
 /// Changes nothing if the run is not the assigned one of its task.
 struct run_ended {
   run_id run;
@@ -66,9 +71,9 @@
   friend bool operator==(const jobs_pruned&, const jobs_pruned&) = default;
 };
 
-using event =
-    std::variant<catalog_declared, job_accepted, job_cancelled, run_assigned,
-                 run_ended, worker_announced, worker_removed, jobs_pruned>;
+using event = std::variant<catalog_declared, job_accepted, job_cancelled,
+                           run_assigned, job_started, run_ended,
+                           worker_announced, worker_removed, jobs_pruned>;
 
 enum class task_phase : std::uint8_t { kWaiting, kAssigned, kDone };
 
@@ -91,6 +96,8 @@
   /// The queue as declared when the job was accepted.
   workflow::queue queue;
   core::wall_time_ms accepted_at = 0;
+  /// Queued until a worker has confirmed the start of a task; an assigned run
+  /// may wait for a worker that does not answer.
   job_phase phase = job_phase::kQueued;
   /// Tasks by occurrence, step and index. Empty once the job is final and no
   /// run is assigned, as are `unfinished_tasks` and the payload.
@@ -138,10 +145,9 @@
   }
   /// @return the worker that the run is assigned to, or null.
   const worker_key* FindAssignedWorker(const run_id& run) const;
-  /// @return the number of jobs of a queue that have not started any task.
+  /// @return the number of jobs of a queue of which no task has started.
   std::size_t CountQueued(const std::string& queue) const;
-  /// @return the number of unfinished jobs of a queue that have assigned runs
-  /// and no results: the workers may not have started any of them.
+  /// @return the number of these jobs that have been assigned to workers.
   std::size_t CountOnlyAssigned(const std::string& queue) const;
 
   /// Content of a snapshot.
@@ -161,6 +167,7 @@
   void On(const job_accepted& event);
   void On(const job_cancelled& event);
   void On(const run_assigned& event);
+  void On(const job_started& event);
   void On(const run_ended& event);
   void On(const worker_announced& event);
   void On(const worker_removed& event);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -295,16 +295,41 @@
   UpdateClock(*it->second, clock_ms);
 }
 
-/// Records events, and how long that takes.
+/// Records events together with the jobs that have started since, and how long
+/// that takes.
 awaitable<core::outcome<void>> dispatcher::impl::Record(
     std::vector<workflow::event> events) {
   const core::time_point begin = clock.Now();
+  std::set<std::string> started = std::exchange(started_jobs, {});
+  for (const std::string& job : started) {
+    events.emplace_back(workflow::job_started{job});
+  }
   auto recorded = co_await event_log.Record(std::move(events));
+  if (!recorded) started_jobs.merge(started);
   ++load.commits;
   load.commit_time += clock.Now() - begin;
   co_return recorded;
 }
 
+/// Notes that a worker has confirmed the start of a task of the job. The next
+/// Record, a few milliseconds later in a busy cell, records it.
+void dispatcher::impl::NoteStarted(const std::string& job) {
+  const workflow::job* const found = event_log.State().FindJob(job);
+  const bool is_queued =
+      found != nullptr && found->phase == workflow::job_phase::kQueued;
+  if (is_queued) started_jobs.insert(job);
+}
+
+awaitable<void> dispatcher::impl::RecordStartedJobs() {
+  const auto self = shared_from_this();
+  std::vector<workflow::event> no_others;
+  const auto recorded = co_await Record(std::move(no_others));
+  if (!recorded) {
+    spdlog::warn("job_starts_not_recorded jobs={} error={}",
+                 started_jobs.size(), core::Describe(recorded.error()));
+  }
+}
+
 load_state dispatcher::impl::LoadState() const {
   load_state state;
   state.workers = monitors.size();
@@ -331,6 +356,7 @@
     const core::time_point due = clock.Now() + kLoopDelayInterval;
     co_await core::SleepUntil(clock, due);
     if (stopped) co_return;
+    if (!started_jobs.empty()) Spawn(RecordStartedJobs());
     const core::time_point now = clock.Now();
     load.max_loop_delay = std::max(load.max_loop_delay, now - due);
     stats.loop_delay.Add(std::chrono::duration<double>(now - due).count());
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -81,6 +81,8 @@
   load_state LoadState() const;
   core::awaitable<core::outcome<void>> Record(
       std::vector<workflow::event> events);
+  void NoteStarted(const std::string& job);
+  core::awaitable<void> RecordStartedJobs();
 
   // worker_monitor.cpp: orders to one worker and its reports.
   core::awaitable<void> MonitorWorker(std::shared_ptr<worker_monitor> monitor);
@@ -211,6 +213,8 @@
   std::map<core::worker_id, std::shared_ptr<worker_monitor>> monitors;
   /// The worker of each tracked run.
   std::map<workflow::run_id, std::shared_ptr<worker_monitor>> run_monitors;
+  /// Jobs of which a worker has confirmed a start that is not recorded yet.
+  std::set<std::string> started_jobs;
   /// Jobs that are not final.
   std::set<std::string> active_jobs;
   /// Active jobs that may have unassigned tasks.
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -154,6 +154,19 @@
   EXPECT_EQ(workers_.starts[0].run, RunOf("j", 1, 2));
 }
 
+// Guards against a job that stays queued for good since the leader that had its
+// start confirmed was lost before it recorded that.
+TEST_F(DispatcherTest, ANewLeaderRecordsStartsThatWorkersReport) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  Submit("j", {Step(1, 1'000)}, queue_);
+  event_log_.Apply(workflow::run_assigned{RunOf("j", 0, 1), w1});
+  workers_.states[{"w1"}].running[RunOf("j", 0, 1)] = "";
+  EXPECT_EQ(Phase("j"), workflow::job_phase::kQueued);
+  BeginTerm();
+  RunFor(milliseconds(200));
+  EXPECT_EQ(Phase("j"), workflow::job_phase::kRunning);
+}
+
 // Guards against a cancelled job whose tasks keep running.
 TEST_F(DispatcherTest, StopsTheTasksOfACancelledJob) {
   AddWorker("w1");
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -15,6 +15,8 @@
 struct tracked_run {
   core::resources need;
   core::time_point tracked_since;
+  /// Time at which the worker confirmed the start or first listed the run.
+  std::optional<core::time_point> started_at;
   /// Number of polls sent when the worker confirmed the start or a stop, or 0
   /// if an earlier leader recorded the run; unset until then. If a later poll
   /// does not list the run, the worker does not have it.
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -199,11 +199,16 @@
       monitor->runs.Add(run.run, {.need = NeedOfRun(event_log.State(), run.run),
                                   .resolved_after_poll = monitor->polls_sent});
       run_monitors[run.run] = monitor;
+      NoteStarted(run.run.task.job);
       // The task must not start elsewhere while this run is active.
       MarkWaiting(run.run.task.job);
       Spawn(StopRun(monitor, run.run));
       continue;
     }
+    if (!tracked->started_at) {
+      tracked->started_at = clock.Now();
+      NoteStarted(run.run.task.job);
+    }
     tracked->percent = run.percent;
     tracked->checkpoint = run.checkpoint;
     // Polls that are already sent may have been answered before the start.
@@ -300,6 +305,7 @@
   if (done != nullptr && !IsClockOfOtherIncarnation(*monitor, done->clock_ms)) {
     UpdateClock(*monitor, done->clock_ms);
     tracked->resolved_after_poll = monitor->polls_sent;
+    tracked->started_at = clock.Now();
     RecordStart(planned.run, *monitor);
     co_return;
   }
@@ -337,6 +343,7 @@
                monitor.worker.key.id.v, monitor.worker.key.incarnation);
   stats.starts.Add();
   ++load.starts;
+  NoteStarted(run.task.job);
   const workflow::job* const job = event_log.State().FindJob(run.task.job);
   const bool is_first = run.number == 1 && run.task.step == 0 &&
                         run.task.index == 0 && run.task.occurrence == 0;
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -239,6 +239,10 @@
   Write(value.run, g.initRun());
   Write(value.worker, g.initWorker());
 }
+static void WriteEvent(const workflow::job_started& value,
+                       schema::WorkflowEvent::Builder builder) {
+  builder.setJobStarted(Text(value.job));
+}
 static void WriteEvent(const workflow::run_ended& value,
                        schema::WorkflowEvent::Builder builder) {
   auto g = builder.initRunEnded();
@@ -284,6 +288,8 @@
       Read(reader.getRunAssigned().getWorker(), value.worker, budget);
       return value;
     }
+    case WorkflowEvent::JOB_STARTED:
+      return workflow::job_started{String(reader.getJobStarted())};
     case WorkflowEvent::RUN_ENDED: {
       const auto g = reader.getRunEnded();
       workflow::run_ended value;
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -107,6 +107,7 @@
     workerAnnounced @10 :WorkerSpec;
     workerRemoved @11 :WorkerKey;
     jobsForgotten @12 :List(Text);
+    jobStarted @13 :Text;
   }
 }
 
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -206,6 +206,7 @@
     WORKER_ANNOUNCED,
     WORKER_REMOVED,
     JOBS_FORGOTTEN,
+    JOB_STARTED,
   };
   struct JobAccepted;
   struct RunAssigned;
@@ -1633,6 +1634,10 @@
   inline bool hasJobsForgotten() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getJobsForgotten() const;
 
+  inline bool isJobStarted() const;
+  inline bool hasJobStarted() const;
+  inline  ::capnp::Text::Reader getJobStarted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1715,6 +1720,14 @@
   inline void adoptJobsForgotten(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownJobsForgotten();
 
+  inline bool isJobStarted();
+  inline bool hasJobStarted();
+  inline  ::capnp::Text::Builder getJobStarted();
+  inline void setJobStarted( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJobStarted(unsigned int size);
+  inline void adoptJobStarted(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJobStarted();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5377,6 +5390,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool WorkflowEvent::Reader::isJobStarted() const {
+  return which() == WorkflowEvent::JOB_STARTED;
+}
+inline bool WorkflowEvent::Builder::isJobStarted() {
+  return which() == WorkflowEvent::JOB_STARTED;
+}
+inline bool WorkflowEvent::Reader::hasJobStarted() const {
+  if (which() != WorkflowEvent::JOB_STARTED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowEvent::Builder::hasJobStarted() {
+  if (which() != WorkflowEvent::JOB_STARTED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkflowEvent::Reader::getJobStarted() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkflowEvent::Builder::getJobStarted() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowEvent::Builder::setJobStarted( ::capnp::Text::Reader value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkflowEvent::Builder::initJobStarted(unsigned int size) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowEvent::Builder::adoptJobStarted(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkflowEvent::Builder::disownJobStarted() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool WorkflowEvent::JobAccepted::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -17,16 +17,9 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-/// @return whether no task of the job is known to have started. If a start was
-/// abandoned, the next run has a higher number.
-bool IsQueued(const job& job) {
-  if (IsFinal(job.phase)) return false;
-  return std::none_of(job.tasks.begin(), job.tasks.end(), [](const task& task) {
-    const bool is_first_run =
-        task.phase == task_phase::kAssigned && task.last_run == 1;
-    return is_first_run || task.phase == task_phase::kDone ||
-           task.failures > 0 || !task.checkpoint.empty();
-  });
+/// @return whether a run with this end had started on its worker.
+bool HadStarted(run_end ending) {
+  return ending != run_end::kNotStarted && ending != run_end::kLost;
 }
 
 bool HasAssignedRun(const job& job) {
@@ -35,15 +28,6 @@
   });
 }
 
-/// @return whether the end of a run or a checkpoint shows that a task of the
-/// job has started.
-bool HasResults(const job& job) {
-  return std::any_of(job.tasks.begin(), job.tasks.end(), [](const task& task) {
-    return task.phase == task_phase::kDone || task.failures > 0 ||
-           !task.checkpoint.empty();
-  });
-}
-
 /// Drops the tasks and the payload of a job that is final and has no assigned
 /// run. Records are kept for minutes, and there may be thousands of them.
 void DropTasks(job& job) {
@@ -131,9 +115,12 @@
   task.phase = task_phase::kAssigned;
   task.last_run = event.run.number;
   task.worker = event.worker;
-  if (it->second.phase == job_phase::kQueued) {
-    it->second.phase = job_phase::kRunning;
-  }
+}
+
+void state::On(const job_started& event) {
+  const auto it = jobs_.find(event.job);
+  if (it == jobs_.end() || it->second.phase != job_phase::kQueued) return;
+  it->second.phase = job_phase::kRunning;
 }
 
 void state::FinishTask(job& job, const task_id& id) {
@@ -158,6 +145,9 @@
 void state::EndRun(job& job, const run_ended& event) {
   const step& step = job.spec.steps[event.run.task.step];
   task& task = job.tasks[*job.FindTaskIndex(event.run.task)];
+  if (job.phase == job_phase::kQueued && HadStarted(event.ending)) {
+    job.phase = job_phase::kRunning;
+  }
   task.worker = {};
   task.phase = task_phase::kWaiting;
   if (!event.checkpoint.empty()) task.checkpoint = event.checkpoint;
@@ -271,7 +261,8 @@
 std::size_t state::CountQueued(const std::string& queue) const {
   return static_cast<std::size_t>(
       std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
-        return entry.second.queue.name == queue && IsQueued(entry.second);
+        return entry.second.queue.name == queue &&
+               entry.second.phase == job_phase::kQueued;
       }));
 }
 
@@ -279,8 +270,8 @@
   return static_cast<std::size_t>(
       std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
         const job& job = entry.second;
-        return job.queue.name == queue && !IsFinal(job.phase) &&
-               HasAssignedRun(job) && !HasResults(job);
+        return job.queue.name == queue && job.phase == job_phase::kQueued &&
+               HasAssignedRun(job);
       }));
 }
 
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -196,21 +196,45 @@
   EXPECT_FALSE(s.IsAssigned(RunOf(0, 0, 1)));
 }
 
-// Guards against jobs that are not counted as queued although all of their
-// starts were abandoned (found by a randomized run with late orders, seed
-// 375614856216).
-TEST(WorkflowStateTest, AJobWithOnlyAbandonedStartsIsQueued) {
+// Guards against counting a job as started because a run is assigned, and
+// against jobs that are not counted as queued although all of their starts were
+// abandoned (found by a randomized run with late orders, seed 375614856216).
+TEST(WorkflowStateTest, AJobIsQueuedUntilARunHasStarted) {
   state s = MakeState({step{}});
   EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
   s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
-  EXPECT_EQ(s.CountQueued(MakeQueue().name), 0u);
+  EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kQueued);
   s.Apply(run_ended{RunOf(0, 0, 1), run_end::kNotStarted, ""});
+  s.Apply(run_assigned{RunOf(0, 0, 2), Key("w1", 1)});
   EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
+  s.Apply(job_started{"j"});
+  EXPECT_EQ(s.CountQueued(MakeQueue().name), 0u);
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kRunning);
+  s.Apply(run_ended{RunOf(0, 0, 2), run_end::kNotStarted, ""});
+  EXPECT_EQ(s.CountQueued(MakeQueue().name), 0u);
+}
+
+// Guards against a job that stays queued after a run has ended on a worker
+// before its start was recorded, and against starts of ended jobs.
+TEST(WorkflowStateTest, TheEndOfARunShowsThatItHadStarted) {
+  const run_end ends[] = {run_end::kFailed, run_end::kStopped,
+                          run_end::kLeaseExpired, run_end::kGangIncomplete};
+  for (const run_end ending : ends) {
+    state s = MakeState({step{}});
+    s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
+    s.Apply(run_ended{RunOf(0, 0, 1), ending, ""});
+    EXPECT_EQ(s.FindJob("j")->phase, job_phase::kRunning) << Name(ending);
+  }
+  state s = MakeState({step{}});
+  s.Apply(job_cancelled{"j"});
+  s.Apply(job_started{"j"});
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kCancelled);
 }
 
 // Guards against a log that can't tell jobs whose runs are only assigned from
 // those that a worker has started.
-TEST(WorkflowStateTest, CountsJobsWithAssignedRunsAndNoResults) {
+TEST(WorkflowStateTest, CountsQueuedJobsWithAssignedRuns) {
   state s = MakeState({step{}});
   EXPECT_EQ(s.CountOnlyAssigned(MakeQueue().name), 0u);
   s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
@@ -281,6 +305,7 @@
       job_accepted{s.FindJob("j")->spec, MakeQueue(), 8},
       job_cancelled{"j"},
       run_assigned{RunOf(0, 1, 2), Key("w1", 1)},
+      job_started{"j"},
       run_ended{RunOf(0, 1, 2), run_end::kLeaseExpired, "c"},
       worker_announced{MakeWorker("w9")},
       worker_removed{Key("w1", 1)},
