Answer requests about jobs only while leadership is confirmed

Callers could see: 410 for an accepted job, 404 for a queue just declared, or an old state or count, from a leader that was suspended and has not yet noticed that another one was elected.

Cause: get_job, cancel_job and submit_job answered from the applied state and checked only that the process believes that it leads, while docs/platform.md said that a round of heartbeats comes first.

Change: these requests wait until the leader holds its lease.

Measured: ThreeMemberServiceTest.ASuspendedLeaderAnswersOnlyOnceItIsConfirmed failed before for all six requests and passes now; the others of the service pass.

Conclusion: an answer can't be older than the election of a new leader.

--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -93,6 +93,7 @@
   awaitable<answer_body> Answer(workflow::join_members request);
   awaitable<outcome<void>> Record(std::vector<workflow::event> events);
   awaitable<answer_body> RecordOne(workflow::event event);
+  awaitable<outcome<void>> ConfirmLeadership();
   awaitable<void> MembershipLoop();
   awaitable<void> UpdateMembership();
   bool IsLeader() const { return active_dispatcher != nullptr; }
@@ -131,6 +132,14 @@
   co_return workflow::accepted{};
 }
 
+/// Must succeed before an answer that rests on the applied state alone: after a
+/// suspension another process may lead, and have recorded more.
+awaitable<outcome<void>> service::impl::ConfirmLeadership() {
+  const auto barrier = co_await node.ReadBarrier(consensus::read_check::kLease);
+  if (!barrier) co_return barrier.error();
+  co_return outcome<void>();
+}
+
 /// @return the job that the address names in this queue, or null.
 const workflow::job* service::impl::FindJob(
     const workflow::queue& queue, const workflow::job_address& address) const {
@@ -140,6 +149,8 @@
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::submit_job request) {
+  const auto confirmed = co_await ConfirmLeadership();
+  if (!confirmed) co_return confirmed.error();
   const workflow::state& state = machine.State();
   if (state.Catalog().version == 0) {
     co_return core::failure(core::unavailable{"no catalog is declared yet"});
@@ -166,6 +177,8 @@
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::get_job request) {
+  const auto confirmed = co_await ConfirmLeadership();
+  if (!confirmed) co_return confirmed.error();
   if (machine.State().Catalog().version == 0) {
     co_return core::failure(core::unavailable{"no catalog is declared yet"});
   }
@@ -190,6 +203,8 @@
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::cancel_job request) {
+  const auto confirmed = co_await ConfirmLeadership();
+  if (!confirmed) co_return confirmed.error();
   const workflow::queue* const queue =
       machine.State().Route(request.address.host, request.address.path);
   if (queue == nullptr) co_return QueueNotFound(request.address);
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -11,11 +11,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// The leader of a cell with one member.
+/// The leader of a cell, of one member unless stated otherwise.
 class ServiceTest : public testing::Test {
  protected:
-  ServiceTest()
-      : cluster_(1, 7),
+  explicit ServiceTest(std::size_t members = 1)
+      : cluster_(members, 7),
         workers_(cluster_.clock),
         transport_(cluster_.network.TransportOf({"m0"})),
         runner_(cluster_.clock, milliseconds(4), 1) {
@@ -28,15 +28,35 @@
         service_settings{}, cluster_.context.get_executor(), cluster_.clock,
         machine_, *node_, workers_, eligibility_, registry_);
     machine_.SetObserver(service_.get());
+    cluster_.network.Listen({"m0"},
+                            [this](std::shared_ptr<consensus::peer_link> link) {
+                              cluster_.Spawn(node_->Serve(std::move(link)));
+                            });
     EXPECT_TRUE(cluster_.Await(node_->Start()));
-    EXPECT_TRUE(
-        cluster_.RunUntil([&] { return service_->IsLeader(); }, seconds(5)));
+    for (std::size_t i = 1; i < members; ++i) cluster_.Start(i);
+    AwaitLeadership();
   }
   ~ServiceTest() override {
+    cluster_.network.Listen({"m0"}, nullptr);
     node_.reset();
+    cluster_.network.CloseLinksOf({"m0"});
     cluster_.RunFor(seconds(5));
   }
 
+  /// Waits until the service leads; another leader gives up its leadership.
+  void AwaitLeadership() {
+    const auto is_decided = [&] {
+      return service_->IsLeader() || cluster_.Leader().has_value();
+    };
+    EXPECT_TRUE(cluster_.RunUntil(is_decided, seconds(5)));
+    if (const auto leader = cluster_.Leader()) {
+      EXPECT_TRUE(
+          cluster_.Await(cluster_.At(*leader).TransferLeadership({"m0"})));
+    }
+    EXPECT_TRUE(
+        cluster_.RunUntil([&] { return service_->IsLeader(); }, seconds(5)));
+  }
+
   workflow::answer_body Handle(workflow::request_body request) {
     return cluster_.Await(service_->Handle(std::move(request)));
   }
@@ -139,6 +159,33 @@
       workflow::answer_body(workflow::job_view{workflow::job_phase::kRunning}));
 }
 
+class ThreeMemberServiceTest : public ServiceTest {
+ protected:
+  ThreeMemberServiceTest() : ServiceTest(3) {}
+};
+
+// Guards against answers of a leader that was suspended: others may have
+// elected a new one meanwhile, and have recorded jobs and queues that this one
+// would report as unknown.
+TEST_F(ThreeMemberServiceTest, ASuspendedLeaderAnswersOnlyOnceItIsConfirmed) {
+  Declare(1, "/q/");
+  EXPECT_EQ(Handle(Submit("/q/1")), accepted_);
+  workflow::request_body cancel = workflow::cancel_job{{"host", "/q/2"}};
+  workflow::request_body requests[] = {Get("/q/1"),      Get("/q/2"),
+                                       Get("/q/"),       Get("/new/1"),
+                                       Submit("/new/1"), cancel};
+  std::vector<std::shared_ptr<std::optional<workflow::answer_body>>> answers;
+  for (workflow::request_body& request : requests) {
+    answers.push_back(cluster_.Spawn(service_->Handle(std::move(request))));
+  }
+  cluster_.clock.AdvanceTo(cluster_.clock.Now() + seconds(5));
+  cluster_.RunFor(seconds(2));
+  for (const auto& answer : answers) {
+    ASSERT_TRUE(answer->has_value());
+    EXPECT_TRUE(Fails<core::not_leader>(**answer));
+  }
+}
+
 // Guards against returning an older declaration, or one with other content
 // under the current version.
 TEST_F(ServiceTest, ReturnsTheHighestCatalogVersion) {
