Find and count jobs by the address of their queue

Callers could see: 410 for an accepted job, and a count without it, after a declaration that gives the queue at the same host and prefix another name.

Cause: jobs were matched to the queue of a request by the queue's name, while callers know the address only.

Change: the address of the queue as it was when the job was accepted is compared. Policies are still looked up by name.

Measured: ServiceTest.JobsStayKnownWhenTheirQueueIsRenamed failed before (410 for get and cancel, count 0) and passes now.

Conclusion: an accepted job stays known at its address.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -145,10 +145,11 @@
   }
   /// @return the worker that the run is assigned to, or null.
   const worker_key* FindAssignedWorker(const run_id& run) const;
-  /// @return the number of jobs of a queue of which no task has started.
-  std::size_t CountQueued(const std::string& queue) const;
+  /// @return the number of jobs at the address of a queue of which no task has
+  /// started.
+  std::size_t CountQueued(const queue& queue) const;
   /// @return the number of these jobs that have been assigned to workers.
-  std::size_t CountOnlyAssigned(const std::string& queue) const;
+  std::size_t CountOnlyAssigned(const queue& queue) const;
 
   /// Content of a snapshot.
   struct image {
--- a/include/mangoplank/workflow/types.h
+++ b/include/mangoplank/workflow/types.h
@@ -93,6 +93,12 @@
   friend bool operator==(const queue&, const queue&) = default;
 };
 
+/// @return whether requests for one queue reach the other, whatever its name
+/// in a later declaration.
+inline bool HaveSameAddress(const queue& a, const queue& b) {
+  return a.host == b.host && a.path_prefix == b.path_prefix;
+}
+
 /// Workers of one kind of service.
 struct pool {
   std::string name;
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -145,7 +145,8 @@
     const workflow::queue& queue, const workflow::job_address& address) const {
   const workflow::job* const job =
       machine.State().FindJob(address.path.substr(queue.path_prefix.size()));
-  return job != nullptr && job->queue.name == queue.name ? job : nullptr;
+  const bool is_known = job != nullptr && HaveSameAddress(job->queue, queue);
+  return is_known ? job : nullptr;
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::submit_job request) {
@@ -186,13 +187,13 @@
       machine.State().Route(request.address.host, request.address.path);
   if (queue == nullptr) co_return QueueNotFound(request.address);
   if (request.address.path == queue->path_prefix) {
-    const workflow::queue_view view{machine.State().CountQueued(queue->name)};
+    const workflow::queue_view view{machine.State().CountQueued(*queue)};
     const auto confirmed_before = clock.Now() - node.LeadershipConfirmedAt();
     spdlog::info(
         "queue_counted queue={} catalog={} pending={} only_assigned={} "
         "applied={} leader_confirmed_ms={}",
         queue->name, machine.State().Catalog().version, view.queued,
-        machine.State().CountOnlyAssigned(queue->name), node.Status().applied,
+        machine.State().CountOnlyAssigned(*queue), node.Status().applied,
         std::chrono::duration_cast<core::milliseconds>(confirmed_before)
             .count());
     co_return view;
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -65,11 +65,12 @@
     const auto* const failure = std::get_if<core::failure>(&answer);
     return failure != nullptr && std::holds_alternative<T>(*failure);
   }
-  void Declare(std::uint64_t version, const std::string& prefix) {
+  void Declare(std::uint64_t version, const std::string& prefix,
+               const std::string& name = "") {
     workflow::catalog catalog;
     catalog.version = version;
     workflow::queue queue;
-    queue.name = "q" + prefix;
+    queue.name = name.empty() ? "q" + prefix : name;
     queue.host = "host";
     queue.path_prefix = prefix;
     queue.pool = "pool";
@@ -159,6 +160,20 @@
       workflow::answer_body(workflow::job_view{workflow::job_phase::kRunning}));
 }
 
+// Guards against jobs that are unknown, and left out of the count, once a
+// declaration gives the queue at their address another name.
+TEST_F(ServiceTest, JobsStayKnownWhenTheirQueueIsRenamed) {
+  Declare(1, "/q/");
+  Handle(Submit("/q/1"));
+  Declare(2, "/q/", "renamed");
+  EXPECT_EQ(
+      Handle(Get("/q/1")),
+      workflow::answer_body(workflow::job_view{workflow::job_phase::kQueued}));
+  EXPECT_EQ(Handle(Get("/q/")), workflow::answer_body(workflow::queue_view{1}));
+  workflow::request_body cancel = workflow::cancel_job{{"host", "/q/1"}};
+  EXPECT_EQ(Handle(cancel), accepted_);
+}
+
 class ThreeMemberServiceTest : public ServiceTest {
  protected:
   ThreeMemberServiceTest() : ServiceTest(3) {}
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -258,20 +258,20 @@
   return is_assigned ? &task.worker : nullptr;
 }
 
-std::size_t state::CountQueued(const std::string& queue) const {
+std::size_t state::CountQueued(const workflow::queue& queue) const {
   return static_cast<std::size_t>(
       std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
-        return entry.second.queue.name == queue &&
+        return HaveSameAddress(entry.second.queue, queue) &&
                entry.second.phase == job_phase::kQueued;
       }));
 }
 
-std::size_t state::CountOnlyAssigned(const std::string& queue) const {
+std::size_t state::CountOnlyAssigned(const workflow::queue& queue) const {
   return static_cast<std::size_t>(
       std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
         const job& job = entry.second;
-        return job.queue.name == queue && job.phase == job_phase::kQueued &&
-               HasAssignedRun(job);
+        return HaveSameAddress(job.queue, queue) &&
+               job.phase == job_phase::kQueued && HasAssignedRun(job);
       }));
 }
 
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -201,18 +201,18 @@
 // abandoned (found by a randomized run with late orders, seed 375614856216).
 TEST(WorkflowStateTest, AJobIsQueuedUntilARunHasStarted) {
   state s = MakeState({step{}});
-  EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
+  EXPECT_EQ(s.CountQueued(MakeQueue()), 1u);
   s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
-  EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
+  EXPECT_EQ(s.CountQueued(MakeQueue()), 1u);
   EXPECT_EQ(s.FindJob("j")->phase, job_phase::kQueued);
   s.Apply(run_ended{RunOf(0, 0, 1), run_end::kNotStarted, ""});
   s.Apply(run_assigned{RunOf(0, 0, 2), Key("w1", 1)});
-  EXPECT_EQ(s.CountQueued(MakeQueue().name), 1u);
+  EXPECT_EQ(s.CountQueued(MakeQueue()), 1u);
   s.Apply(job_started{"j"});
-  EXPECT_EQ(s.CountQueued(MakeQueue().name), 0u);
+  EXPECT_EQ(s.CountQueued(MakeQueue()), 0u);
   EXPECT_EQ(s.FindJob("j")->phase, job_phase::kRunning);
   s.Apply(run_ended{RunOf(0, 0, 2), run_end::kNotStarted, ""});
-  EXPECT_EQ(s.CountQueued(MakeQueue().name), 0u);
+  EXPECT_EQ(s.CountQueued(MakeQueue()), 0u);
 }
 
 // Guards against a job that stays queued after a run has ended on a worker
@@ -236,13 +236,13 @@
 // those that a worker has started.
 TEST(WorkflowStateTest, CountsQueuedJobsWithAssignedRuns) {
   state s = MakeState({step{}});
-  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue().name), 0u);
+  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue()), 0u);
   s.Apply(run_assigned{RunOf(0, 0, 1), Key("w1", 1)});
-  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue().name), 1u);
-  EXPECT_EQ(s.CountOnlyAssigned("other"), 0u);
+  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue()), 1u);
+  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue("/q/long/")), 0u);
   s.Apply(run_ended{RunOf(0, 0, 1), run_end::kStopped, "half"});
   s.Apply(run_assigned{RunOf(0, 0, 2), Key("w1", 1)});
-  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue().name), 0u);
+  EXPECT_EQ(s.CountOnlyAssigned(MakeQueue()), 0u);
 }
 
 // Guards against removing the record of a job while a run may still be active.
