Log and count each loss of a worker, with the runs it was starting

Change: one worker_lost line and a counter by evidence for each worker that was lost while not draining, with the number of runs there and of those that were starting: the worker was not heard of 300 ms after their start.

--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -11,8 +11,9 @@
 
 /// Metrics of the dispatcher.
 struct dispatch_metrics {
-  explicit dispatch_metrics(metrics::registry& registry)
-      : orders_unanswered(
+  explicit dispatch_metrics(metrics::registry& metrics_registry)
+      : registry(metrics_registry),
+        orders_unanswered(
             registry.Counter("mangoplank_workflow_orders_unanswered_total",
                              "Starts that no worker confirmed in time")),
         starts(registry.Counter("mangoplank_workflow_starts_total",
@@ -41,6 +42,14 @@
     return *ended_runs.at(static_cast<std::size_t>(ending));
   }
 
+  /// @param evidence by which the leader knows of the loss.
+  metrics::counter& LostWorkers(std::string_view evidence) {
+    return registry.Counter("mangoplank_workflow_workers_lost_total",
+                            "Workers lost that were not draining",
+                            {{"evidence", std::string(evidence)}});
+  }
+
+  metrics::registry& registry;
   metrics::counter& orders_unanswered;
   metrics::counter& starts;
   metrics::counter& workers_removed;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -124,6 +124,7 @@
       monitor->worker = it->second;
       continue;
     }
+    if (it != known.end()) ReportLoss(*monitor, worker_loss::kNewIncarnation);
     monitor->removed = true;
     monitor->wakeup.NotifyAll();
     for (const auto& [run, tracked] : monitor->runs.Runs()) {
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -15,6 +15,23 @@
 
 namespace mangoplank::dispatch {
 
+/// How the leader learned that an incarnation of a worker is lost.
+enum class worker_loss : std::uint8_t {
+  /// A later incarnation of the worker has reported.
+  kNewIncarnation,
+  /// Another worker or incarnation answers at its address.
+  kAddressTaken,
+  /// Its lease has ended without an answer: it may have crashed, or be cut off.
+  kSilent
+};
+
+/// @return the name used in logs.
+constexpr std::string_view Name(worker_loss loss) {
+  constexpr std::string_view kNames[] = {"new_incarnation", "address_taken",
+                                         "silent"};
+  return kNames[static_cast<std::size_t>(loss)];
+}
+
 /// The leader's view of one incarnation of a worker.
 struct worker_monitor {
   worker_monitor(workflow::worker registered, worker_slot free_slot,
@@ -104,7 +121,10 @@
                                      workflow::run_end ending);
   worker_target TargetOf(const worker_monitor& monitor) const;
   core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
-                                     std::string reason);
+                                     worker_loss loss, std::string reason);
+  bool HasSurvivedStart(const worker_monitor& monitor,
+                        const tracked_run& tracked) const;
+  void ReportLoss(const worker_monitor& monitor, worker_loss loss);
   std::optional<std::int64_t> NextLeaseEndMs(worker_monitor& monitor);
   void UpdateClock(worker_monitor& monitor, std::int64_t clock_ms);
   std::int64_t MinClockMs(const worker_monitor& monitor,
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -27,6 +27,8 @@
 constexpr core::milliseconds kAvoidanceTime{1'500};
 /// Allowed difference of two readings of one clock in addition to its drift.
 constexpr core::milliseconds kClockSlack{2'000};
+/// A worker that answers this long after the start of a run has survived it.
+constexpr core::milliseconds kStartTime{300};
 /// Maximum number of ends in one report; a full list may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -123,7 +125,7 @@
         clock.Now() > monitor->last_heard + settings.worker_silence;
     if (silent && clock.Now() > monitor->lease_end) {
       std::string reason = "lease expired without an answer";
-      co_await RemoveWorker(monitor, std::move(reason));
+      co_await RemoveWorker(monitor, worker_loss::kSilent, std::move(reason));
       co_return;
     }
     co_await core::SleepFor(clock, kRetryPause);
@@ -159,7 +161,8 @@
   ++load.polls_unanswered;
   if (std::holds_alternative<other_incarnation>(result)) {
     std::string reason = "another incarnation answers at its address";
-    co_await RemoveWorker(monitor, std::move(reason));
+    co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
+                          std::move(reason));
   } else if (std::holds_alternative<order_refused>(result)) {
     spdlog::warn("poll_refused worker={} term={}", monitor->worker.key.id.v,
                  term);
@@ -326,7 +329,8 @@
   }
   if (std::holds_alternative<other_incarnation>(result)) {
     std::string reason = "another incarnation refused a start";
-    co_await RemoveWorker(monitor, std::move(reason));
+    co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
+                          std::move(reason));
     co_return;
   }
   stats.orders_unanswered.Add();
@@ -378,7 +382,8 @@
     if (stopped || monitor->removed) co_return;
     if (std::holds_alternative<other_incarnation>(result)) {
       std::string reason = "another incarnation refused a stop";
-      co_await RemoveWorker(monitor, std::move(reason));
+      co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
+                            std::move(reason));
       co_return;
     }
     // After any other refusal the worker has not stopped the run: it would
@@ -409,9 +414,37 @@
   }
 }
 
+/// @return whether the worker was heard of after the run had started on it.
+bool dispatcher::impl::HasSurvivedStart(const worker_monitor& monitor,
+                                        const tracked_run& tracked) const {
+  return tracked.started_at &&
+         monitor.last_heard >= *tracked.started_at + kStartTime;
+}
+
+/// Logs and counts the loss of a worker that was not about to leave, with the
+/// runs that it ended: those that were starting may have caused it.
+void dispatcher::impl::ReportLoss(const worker_monitor& monitor,
+                                  worker_loss loss) {
+  if (monitor.worker.draining) return;
+  stats.LostWorkers(Name(loss)).Add();
+  std::size_t starting = 0;
+  std::string first;
+  for (const auto& [run, tracked] : monitor.runs.Runs()) {
+    if (HasSurvivedStart(monitor, tracked)) continue;
+    if (starting++ == 0) first = Name(run);
+  }
+  spdlog::warn(
+      "worker_lost worker={} born={} evidence={} runs={} starting={} "
+      "first_starting={}",
+      monitor.worker.key.id.v, monitor.worker.key.incarnation, Name(loss),
+      monitor.runs.Size(), starting, first);
+}
+
 awaitable<void> dispatcher::impl::RemoveWorker(
-    std::shared_ptr<worker_monitor> monitor, std::string reason) {
+    std::shared_ptr<worker_monitor> monitor, worker_loss loss,
+    std::string reason) {
   if (monitor->removed) co_return;
+  ReportLoss(*monitor, loss);
   stats.workers_removed.Add();
   spdlog::warn("worker_removed worker={} born={} reason=\"{}\" runs={}",
                monitor->worker.key.id.v, monitor->worker.key.incarnation,
