Hold off a campaign after a contact that came during the last one

Callers could see: an older state of a job, from a leader that reads by its lease while another one has been elected.

Cause: a member whose pre-vote was refused while a delayed message of the leader arrived had renewed the leader's lease, but campaigned again after a tenth of the election timeout and counted its own vote. The other member, which had heard nothing of the leader for a timeout, made it the leader, so that two members held the lease.

Change: a contact during a campaign starts the full wait, and a member that has had one does not vote for itself.

Conclusion: a member's own vote backs the lease as those of others do.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -54,7 +54,10 @@
     } else if (!is_only_voter && clock.Now() < since + wait) {
       co_await election_changed.WaitUntil(since + wait);
     } else {
+      const core::time_point contact_before = last_leader_contact;
       co_await RunElection(false);
+      // A leader that was heard of meanwhile gets the full wait.
+      if (last_leader_contact != contact_before) continue;
       since = clock.Now();
       wait = RandomTimeout(kMinRetryFactor, kMaxRetryFactor);
     }
@@ -62,11 +65,17 @@
 }
 
 core::awaitable<void> node::impl::RunElection(bool transfer) {
+  const core::time_point contact_before = last_leader_contact;
   if (!transfer) {
     const bool pre_vote_won = co_await Campaign(true, false);
     if (!pre_vote_won) co_return;
   }
   if (ended || IsLeader() || !CanCampaign()) co_return;
+  // The own vote backs the lease of a leader as the votes of others do.
+  const bool backs_lease =
+      !transfer && last_leader_contact != contact_before &&
+      clock.Now() < last_leader_contact + settings.election_timeout;
+  if (backs_lease) co_return;
   BecomeFollower(hard_state.term + 1, std::nullopt);
   SetTermAndVote(hard_state.term, settings.self);
   const core::term term = hard_state.term;
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -318,6 +318,79 @@
   EXPECT_TRUE(cluster.Await(cluster.At(0).Propose("a")));
 }
 
+/// A leader whose messages to one member are delayed and then delivered
+/// together while that member campaigns; the other member hears nothing of it.
+class interrupted_campaign {
+ public:
+  explicit interrupted_campaign(std::uint64_t seed)
+      : cluster_(3, seed,
+                 [this](const core::member_id& from, const core::member_id& to,
+                        const message&) { return DecideDelay(from, to); }) {
+    cluster_.base.election_timeout = milliseconds(600);
+    cluster_.base.heartbeat_interval = milliseconds(120);
+    StartAll(cluster_);
+    leader_ = cluster_.AwaitLeader();
+    cluster_.RunFor(seconds(2));
+  }
+  ~interrupted_campaign() {
+    cluster_.after_step = [] {};
+  }
+
+  /// @return whether two members held the lease at once.
+  bool Run() {
+    if (cluster_.Leader() != leader_) return false;
+    candidate_ = (leader_ + 1) % 3;
+    begin_ = cluster_.clock.Now();
+    bool overlapped = false;
+    cluster_.after_step = [&] {
+      std::size_t leases = 0;
+      for (std::size_t i = 0; i < 3; ++i) {
+        leases += cluster_.At(i).HoldsLease() ? 1 : 0;
+      }
+      overlapped = overlapped || leases > 1;
+    };
+    cluster_.RunFor(milliseconds(1'400));
+    return overlapped;
+  }
+
+ private:
+  static constexpr milliseconds kUsualDelay{4};
+  static constexpr milliseconds kLeaderLeavesOther{180};
+  static constexpr milliseconds kDelivery{700};
+  static constexpr milliseconds kLeaderIsCutOff{720};
+
+  std::optional<core::duration> DecideDelay(const core::member_id& from,
+                                            const core::member_id& to) const {
+    if (!begin_) return kUsualDelay;
+    const core::duration elapsed = cluster_.clock.Now() - *begin_;
+    const core::member_id leader = cluster_.members[leader_]->info.id;
+    const core::member_id candidate = cluster_.members[candidate_]->info.id;
+    if (from != leader && to != leader) return kUsualDelay;
+    if (from == leader && to == candidate) {
+      if (elapsed >= kDelivery) return std::nullopt;
+      return core::duration(kDelivery) - elapsed;
+    }
+    const milliseconds limit =
+        from == candidate ? kLeaderIsCutOff : kLeaderLeavesOther;
+    if (elapsed >= limit) return std::nullopt;
+    return kUsualDelay;
+  }
+
+  fake_cluster cluster_;
+  std::size_t leader_ = 0;
+  std::size_t candidate_ = 0;
+  std::optional<core::time_point> begin_;
+};
+
+// Guards against a member that campaigns soon after it has renewed the leader's
+// lease, since it was campaigning when the leader's message arrived.
+TEST(NodeTest, AContactDuringACampaignHoldsOffTheNextOne) {
+  constexpr std::uint64_t kSeeds = 60;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    EXPECT_FALSE(interrupted_campaign(seed).Run()) << "seed " << seed;
+  }
+}
+
 // Guards against an unbounded queue of proposals.
 TEST(NodeTest, RefusesProposalsOverTheLimit) {
   fake_cluster cluster(1, 12);
