Look up a job's policies by the address of its queue

Callers could see: a job that runs on the pool, and with the priority and attempts, of another queue, after a declaration that gives that queue the name of the job's own (the rule on routes of the platform).

Cause: the catalog was indexed by the queues' names, while jobs are accepted at an address.

Change: the index is ordered by address.

Measured: WorkflowStateTest.AJobFollowsTheQueueAtItsAddress failed before and passes; the other tests of the state pass.

Conclusion: a job follows the queue that its callers address.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -138,8 +137,8 @@
 
   /// @return the job, or null.
   const job* FindJob(const std::string& id) const;
-  /// @return the job's queue as currently declared, or as it was when the job
-  /// was accepted if the queue is no longer declared.
+  /// @return the queue at the address of the job's queue as currently declared,
+  /// or as it was when the job was accepted if none is declared there.
   const queue& QueueOf(const job& job) const;
   /// @return the queue of a request: the one with the same host and the longest
   /// prefix of the path; null if there is none.
@@ -188,8 +187,9 @@
   void IndexQueues();
 
   catalog catalog_;
-  /// Indexes of the catalog's queues by name; there may be hundreds of queues.
-  std::unordered_map<std::string, std::size_t> queue_index_;
+  /// Indexes of the catalog's queues, ordered by address; there may be hundreds
+  /// of queues.
+  std::vector<std::size_t> queues_by_address_;
   std::map<std::string, job> jobs_;
   std::map<core::worker_id, worker> workers_;
 };
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace mangoplank::workflow {
 
@@ -17,6 +18,10 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
+auto Address(const queue& queue) {
+  return std::tie(queue.host, queue.path_prefix);
+}
+
 /// A second crash at the start of a task ends its job if no other task was
 /// starting there: each further start would crash one worker more.
 constexpr std::uint32_t kMaxCrashesAlone = 2;
@@ -105,10 +110,12 @@
 }
 
 void state::IndexQueues() {
-  queue_index_.clear();
-  for (std::size_t i = 0; i < catalog_.queues.size(); ++i) {
-    queue_index_.emplace(catalog_.queues[i].name, i);
-  }
+  queues_by_address_.resize(catalog_.queues.size());
+  std::iota(queues_by_address_.begin(), queues_by_address_.end(), 0);
+  std::sort(queues_by_address_.begin(), queues_by_address_.end(),
+            [this](std::size_t a, std::size_t b) {
+              return Address(catalog_.queues[a]) < Address(catalog_.queues[b]);
+            });
 }
 
 void state::On(const job_accepted& event) {
@@ -265,8 +272,14 @@
 }
 
 const queue& state::QueueOf(const job& job) const {
-  const auto it = queue_index_.find(job.queue.name);
-  return it == queue_index_.end() ? job.queue : catalog_.queues[it->second];
+  const auto it = std::lower_bound(
+      queues_by_address_.begin(), queues_by_address_.end(), job.queue,
+      [this](std::size_t index, const queue& wanted) {
+        return Address(catalog_.queues[index]) < Address(wanted);
+      });
+  if (it == queues_by_address_.end()) return job.queue;
+  const queue& found = catalog_.queues[*it];
+  return HaveSameAddress(found, job.queue) ? found : job.queue;
 }
 
 const queue* state::Route(const std::string& host,
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -82,6 +82,26 @@
   EXPECT_EQ(s.Route("other", "/q/x"), nullptr);
 }
 
+// Guards against running a job by the policies, or on the pool, of another
+// queue that a later declaration gives the name of the job's queue.
+TEST(WorkflowStateTest, AJobFollowsTheQueueAtItsAddress) {
+  state s = MakeState({step{}});
+  catalog renamed;
+  renamed.version = 4;
+  queue at_address = MakeQueue();
+  at_address.name = "renamed";
+  at_address.pool = "other";
+  queue elsewhere = MakeQueue("/elsewhere/");
+  elsewhere.name = MakeQueue().name;
+  renamed.queues = {elsewhere, at_address};
+  s.Apply(catalog_declared{renamed});
+  EXPECT_EQ(s.QueueOf(*s.FindJob("j")).pool, "other");
+  renamed.version = 5;
+  renamed.queues = {elsewhere};
+  s.Apply(catalog_declared{renamed});
+  EXPECT_EQ(s.QueueOf(*s.FindJob("j")), MakeQueue());
+}
+
 // Guards against a resubmission that restarts a job.
 TEST(WorkflowStateTest, ResubmittingAJobChangesNothing) {
   state s = MakeState({step{}});
