Confirm leadership before acknowledging reports of workers

Callers could see: a worker that left, acknowledged by a suspended leader, and whose tasks wait for the end of its lease at the new one; 503 for a resubmission of a job that is recorded; and an id acknowledged as accepted that belongs to a job of another queue.

Cause: heartbeats and deregistrations that change nothing in the applied state were acknowledged from it, without a check of leadership; a resubmission was checked although what is applied is committed; jobs were looked up by id alone.

Change: reports of workers wait for the lease like requests about jobs, a job that is known at its address is acknowledged at once, and an id that is in use in another queue is refused as invalid.

Conclusion: nothing is acknowledged from a state that may be outdated.

--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -99,6 +99,7 @@
   bool IsLeader() const { return active_dispatcher != nullptr; }
   const workflow::job* FindJob(const workflow::queue& queue,
                                const workflow::job_address& address) const;
+  bool IsAccepted(const workflow::job_address& address) const;
 
   const service_settings settings;
   const asio::any_io_executor executor;
@@ -149,7 +150,16 @@
   return is_known ? job : nullptr;
 }
 
+/// @return whether the address names a job that is recorded.
+bool service::impl::IsAccepted(const workflow::job_address& address) const {
+  const workflow::queue* const queue =
+      machine.State().Route(address.host, address.path);
+  return queue != nullptr && FindJob(*queue, address) != nullptr;
+}
+
 awaitable<answer_body> service::impl::Answer(workflow::submit_job request) {
+  // What is applied is committed, so that this needs no confirmation.
+  if (IsAccepted(request.address)) co_return workflow::accepted{};
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
   const workflow::state& state = machine.State();
@@ -163,7 +173,10 @@
   if (auto invalid = FindInvalidField(request.spec)) {
     co_return std::move(*invalid);
   }
-  if (state.FindJob(request.spec.id) != nullptr) co_return workflow::accepted{};
+  if (IsAccepted(request.address)) co_return workflow::accepted{};
+  if (state.FindJob(request.spec.id) != nullptr) {
+    co_return Invalid("id", "is the id of a job of another queue");
+  }
   const std::string id = request.spec.id;
   if (active_dispatcher) active_dispatcher->Prepare(request.spec, *queue);
   workflow::event event =
@@ -222,6 +235,8 @@
 
 awaitable<answer_body> service::impl::Answer(
     workflow::worker_heartbeat request) {
+  const auto confirmed = co_await ConfirmLeadership();
+  if (!confirmed) co_return confirmed.error();
   const auto& known = machine.State().Workers();
   const auto it = known.find(request.worker.key.id);
   const workflow::worker_key key = request.worker.key;
@@ -247,6 +262,8 @@
 
 awaitable<answer_body> service::impl::Answer(
     workflow::deregister_worker request) {
+  const auto confirmed = co_await ConfirmLeadership();
+  if (!confirmed) co_return confirmed.error();
   const auto& known = machine.State().Workers();
   const auto it = known.find(request.id);
   if (it == known.end()) co_return workflow::accepted{};
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -114,6 +114,16 @@
   EXPECT_TRUE(Fails<core::not_found>(Handle(Submit("/q/2"))));
 }
 
+// Guards against telling a caller that a job is accepted since another queue
+// has a job of the same id.
+TEST_F(ServiceTest, AnIdNamesOneJob) {
+  Declare(1, "/");
+  EXPECT_EQ(Handle(Submit("/1")), accepted_);
+  EXPECT_EQ(Handle(Submit("/1")), accepted_);
+  Declare(2, "/q/");
+  EXPECT_TRUE(Fails<core::invalid_request>(Handle(Submit("/q/1"))));
+}
+
 // Guards against reporting a job or a queue in a wrong state.
 TEST_F(ServiceTest, ReportsJobsAndQueues) {
   Declare(1, "/q/");
@@ -186,9 +196,20 @@
   Declare(1, "/q/");
   EXPECT_EQ(Handle(Submit("/q/1")), accepted_);
   workflow::request_body cancel = workflow::cancel_job{{"host", "/q/2"}};
-  workflow::request_body requests[] = {Get("/q/1"),      Get("/q/2"),
-                                       Get("/q/"),       Get("/new/1"),
-                                       Submit("/new/1"), cancel};
+  workflow::worker_heartbeat heartbeat;
+  heartbeat.worker.key = {{"w"}, 5};
+  Handle(heartbeat);
+  workflow::request_body requests[] = {
+      Get("/q/1"),
+      Get("/q/2"),
+      Get("/q/"),
+      Get("/new/1"),
+      Submit("/new/1"),
+      cancel,
+      heartbeat,
+      workflow::deregister_worker{{"w"}, 4},
+      workflow::deregister_worker{{"unknown"}, 4}};
+  const auto resubmitted = cluster_.Spawn(service_->Handle(Submit("/q/1")));
   std::vector<std::shared_ptr<std::optional<workflow::answer_body>>> answers;
   for (workflow::request_body& request : requests) {
     answers.push_back(cluster_.Spawn(service_->Handle(std::move(request))));
@@ -199,6 +220,8 @@
     ASSERT_TRUE(answer->has_value());
     EXPECT_TRUE(Fails<core::not_leader>(**answer));
   }
+  // What it has applied is recorded, whoever leads.
+  EXPECT_EQ(resubmitted->value(), accepted_);
 }
 
 // Guards against returning an older declaration, or one with other content
