Send no start order for a run that no longer fits its worker

Cause: a round plans with the capacity that the workers have announced, and the start orders follow one commit later without another look. A capacity that shrank in between was exceeded (rule LIMIT).

Change: just before the order, the run's need and what the worker may already have, runs that are being stopped included, must fit the announced capacity. Runs for which no order was sent are not counted, so that those that still fit start. A run that is held back is recorded as not started: its task is placed again, and the other members of a gang are stopped.

The other tests of the file passed before: planning, reservations, pending checks and adopted runs keep to the smaller capacity. After the change all pass.

--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -23,6 +23,7 @@
     if (leadership_lost) co_return core::failure(core::commit_unknown{});
     if (latency > core::duration(0)) co_await core::SleepFor(clock, latency);
     for (const workflow::event& e : events) Apply(e);
+    if (on_recorded) on_recorded();
     co_return core::outcome<void>();
   }
   const workflow::state& State() const override { return state; }
@@ -39,6 +40,8 @@
   dispatcher* observer = nullptr;
   bool leadership_lost = false;
   core::duration latency{0};
+  /// Called when recorded events are applied, before the recorder goes on.
+  std::function<void()> on_recorded;
   /// The current time if not set.
   std::optional<core::time_point> leadership_confirmed_at;
 };
@@ -135,6 +138,9 @@
 /// Reports those of the given workers as eligible that are listed.
 class fake_eligibility : public eligibility_port {
  public:
+  /// Waits for the answer delay on this clock; answers at once without one.
+  core::fake_clock* clock = nullptr;
+  core::duration delay{0};
   std::set<core::worker_id> eligible;
   std::vector<std::vector<core::worker_id>> checks;
 
@@ -142,6 +148,7 @@
       workflow::task_id, std::vector<core::worker_id> workers,
       core::milliseconds, std::int32_t) override {
     checks.push_back(workers);
+    if (clock != nullptr) co_await core::SleepFor(*clock, delay);
     std::vector<workflow::eligible_worker> eligible_workers;
     for (const core::worker_id& worker : workers) {
       if (eligible.contains(worker)) {
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -286,6 +286,17 @@
     co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
     co_return;
   }
+  tracked_run* tracked = monitor->runs.Find(planned.run);
+  if (tracked == nullptr) co_return;
+  // The capacity may have shrunk since the round that planned the run.
+  if (!monitor->worker.capacity.Holds(monitor->runs.Ordered() +
+                                      tracked->need)) {
+    spdlog::info("run_held_back run={} worker={}", Name(planned.run),
+                 monitor->worker.key.id.v);
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
+  monitor->runs.SetOrdered(*tracked);
   start_order order{term,
                     planned.run,
                     job->spec.payload,
@@ -299,7 +310,7 @@
   const auto result =
       co_await workers.Start(to, std::move(order), kOrderTimeout);
   if (stopped || monitor->removed) co_return;
-  tracked_run* const tracked = monitor->runs.Find(planned.run);
+  tracked = monitor->runs.Find(planned.run);
   if (tracked == nullptr) co_return;
   const auto* const done = std::get_if<order_done>(&result);
   if (done != nullptr && !IsClockOfOtherIncarnation(*monitor, done->clock_ms)) {
