Don't bound gangs that need no processors by the available ones

Cause: the bound that lets a round pass over a gang divided the pool's available processors by the need, taken as at least a thousandth. A gang whose tasks need none (steps that fill, or memory and accelerators only) was passed over when no processor was available, as on workers that report none, unless it was the first on-time gang of its pool.

Change: the bound holds only for tasks that need processors.

--- a/src/dispatch/capacity_test.cpp
+++ b/src/dispatch/capacity_test.cpp
@@ -319,5 +319,20 @@
   EXPECT_EQ(CountStarts("small"), 0u);
 }
 
+// Guards against a bound on what a gang can reach that counts processors for
+// tasks that need none.
+TEST_F(CapacityTest, AGangWithoutNeedOfProcessorsStartsWithoutAvailableOnes) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  queue_.target_latency_ms = 0;
+  queue_.stretch_factor = 0.5;
+  BeginTerm();
+  Announce(w1, {0, 100, 0});
+  workflow::step gang = Gang(2, 500);
+  gang.filler = true;
+  Submit("gang", {gang}, queue_);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(CountStarts("gang"), 2u);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -1,6 +1,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "dispatch/dispatcher_impl.h"
@@ -112,9 +113,10 @@
                                            const core::resources& need,
                                            const eligibility_view* view) const {
   if (IsUnplaceable(pool, need)) return 0;
-  const double fitting =
-      static_cast<double>(pool.available_cpu_milli) /
-      static_cast<double>(std::max<std::int64_t>(1, need.cpu_milli));
+  // Processors bound only the tasks that need some.
+  if (need.cpu_milli <= 0) return std::numeric_limits<double>::infinity();
+  const double fitting = static_cast<double>(pool.available_cpu_milli) /
+                         static_cast<double>(need.cpu_milli);
   const bool knows_none = view != nullptr && view->tickets.empty();
   return knows_none ? EligibleShare(queue) * fitting : fitting;
 }
