Ignore a worker's report that a later one has overtaken

Cause: reports reach the leader through different control processes and may overtake each other. Their sequence was read and dropped, so that the one that arrived last counted: a late report brought an earlier, larger capacity or an earlier address back. Without any reordering, a report equal to the state that arrived while a change was being recorded was not recorded after it.

Change: the sequence is carried with the worker (workflow.capnp, WorkerSpec.reportSequence). The leader keeps the newest report of each worker in memory and compares incarnation and sequence; while an announcement is being recorded, the newest report is recorded after it. A report that changes nothing is not recorded, as before. A recorded change carries its sequence, so that a new leader recognizes the reports before it. A late report that says draining still records the drain. One without an incarnation is never taken for late, as the sequence starts anew with each. A late report no longer counts as a sign of life.

ALateReportDoesNotBringTheCapacityBack with 8,000 in place of 2,000, ALateReportHidesNoDrainAndNoAddress with the earlier address, TheSequenceStartsAnewWithAnIncarnation with an ended incarnation registered again.

--- a/include/mangoplank/workflow/types.h
+++ b/include/mangoplank/workflow/types.h
@@ -140,6 +140,9 @@
   std::vector<std::string> labels;
   /// The worker is about to deregister and accepts no new tasks.
   bool draining = false;
+  /// Number of the worker's report that this is taken from; increases with
+  /// each report of an incarnation.
+  std::int64_t report_sequence = 0;
 
   friend bool operator==(const worker&, const worker&) = default;
 };
--- a/src/dispatch/capacity_test.cpp
+++ b/src/dispatch/capacity_test.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher_fixture.h"
 #include "dispatch/planning_types.h"
+#include "dispatch/service_fixture.h"
 
 /// Workers whose capacity shrinks and grows while they run tasks.
 namespace mangoplank::dispatch {
@@ -334,5 +335,114 @@
   EXPECT_EQ(CountStarts("gang"), 2u);
 }
 
+/// Reports of one worker to the leader, which may arrive in another order.
+class WorkerReportTest : public ServiceTest {
+ protected:
+  static workflow::worker_heartbeat Report(std::int64_t sequence,
+                                           std::int64_t cpu) {
+    workflow::worker_heartbeat report;
+    report.worker.key = {{"w"}, 5};
+    report.worker.address = {"10.0.0.1", 80};
+    report.worker.pool = "pool";
+    report.worker.capacity = {cpu, 8'000, 0};
+    report.worker.report_sequence = sequence;
+    report.clock_ms = 1'000 + sequence;
+    return report;
+  }
+  const workflow::worker& Registered() const {
+    return machine_.State().Workers().at({"w"});
+  }
+  std::int64_t RegisteredCpu() const { return Registered().capacity.cpu_milli; }
+
+  /// Replaces the service by one that knows only the replicated state.
+  void BeginNextTerm() {
+    service_->OnLeadershipChange(false, 0);
+    service_ = std::make_unique<service>(
+        service_settings{}, cluster_.context.get_executor(), cluster_.clock,
+        machine_, *node_, workers_, eligibility_, registry_);
+    machine_.SetObserver(service_.get());
+    service_->OnLeadershipChange(true, node_->Status().term);
+  }
+};
+
+// Guards against a late report of an earlier, larger capacity that is taken for
+// the present one: tasks would start over the smaller one.
+TEST_F(WorkerReportTest, ALateReportDoesNotBringTheCapacityBack) {
+  Handle(Report(1, 8'000));
+  Handle(Report(3, 2'000));
+  EXPECT_EQ(Handle(Report(2, 8'000)), accepted_);
+  EXPECT_EQ(RegisteredCpu(), 2'000);
+  Handle(Report(4, 8'000));
+  EXPECT_EQ(RegisteredCpu(), 8'000);
+}
+
+// The same if the late report arrives while the newer one is being recorded, or
+// the newer one while a change that it takes back is being recorded.
+TEST_F(WorkerReportTest, TheNewestReportCountsDuringACommit) {
+  Handle(Report(1, 8'000));
+  cluster_.Spawn(service_->Handle(Report(3, 2'000)));
+  cluster_.Spawn(service_->Handle(Report(2, 8'000)));
+  cluster_.RunFor(seconds(1));
+  EXPECT_EQ(RegisteredCpu(), 2'000);
+  cluster_.Spawn(service_->Handle(Report(4, 8'000)));
+  cluster_.Spawn(service_->Handle(Report(5, 2'000)));
+  cluster_.RunFor(seconds(1));
+  EXPECT_EQ(RegisteredCpu(), 2'000);
+}
+
+// Guards against a new leader that takes a report for new which is older than
+// the last change that an earlier leader has recorded.
+TEST_F(WorkerReportTest, ANewLeaderRecognizesReportsBeforeTheLastChange) {
+  Handle(Report(1, 8'000));
+  Handle(Report(3, 2'000));
+  BeginNextTerm();
+  EXPECT_EQ(Handle(Report(2, 8'000)), accepted_);
+  EXPECT_EQ(RegisteredCpu(), 2'000);
+}
+
+// Guards against a commit for each report: there are thousands of workers.
+TEST_F(WorkerReportTest, AReportWithoutAChangeIsNotRecorded) {
+  Handle(Report(1, 8'000));
+  Handle(Report(2, 8'000));
+  EXPECT_EQ(Registered().report_sequence, 1);
+  Handle(Report(4, 2'000));
+  Handle(Report(5, 2'000));
+  EXPECT_EQ(Registered().report_sequence, 4);
+  // Unchanged reports count as the newest too.
+  Handle(Report(7, 2'000));
+  Handle(Report(6, 8'000));
+  EXPECT_EQ(RegisteredCpu(), 2'000);
+}
+
+// Guards against a late report that hides a drain or brings an earlier address
+// back, and against a drain that is acknowledged and not recorded since its
+// report is late.
+TEST_F(WorkerReportTest, ALateReportHidesNoDrainAndNoAddress) {
+  Handle(Report(1, 8'000));
+  workflow::worker_heartbeat moved = Report(4, 8'000);
+  moved.worker.address = {"10.0.0.2", 80};
+  Handle(moved);
+  workflow::worker_heartbeat draining = Report(3, 8'000);
+  draining.worker.draining = true;
+  EXPECT_EQ(Handle(draining), accepted_);
+  EXPECT_TRUE(Registered().draining);
+  Handle(Report(2, 8'000));
+  EXPECT_TRUE(Registered().draining);
+  EXPECT_EQ(Registered().address, moved.worker.address);
+}
+
+// Guards against reports of a new incarnation that are taken for late, as its
+// sequence starts anew, and against an ended incarnation that returns.
+TEST_F(WorkerReportTest, TheSequenceStartsAnewWithAnIncarnation) {
+  Handle(Report(9, 8'000));
+  workflow::worker_heartbeat restarted = Report(1, 4'000);
+  restarted.worker.key.incarnation = 6;
+  Handle(restarted);
+  EXPECT_EQ(RegisteredCpu(), 4'000);
+  Handle(workflow::deregister_worker{{"w"}, 6});
+  Handle(Report(10, 8'000));
+  EXPECT_TRUE(machine_.State().Workers().empty());
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "dispatch/newest_report.h"
 #include "mangoplank/wire/codec.h"
 
 namespace mangoplank::dispatch {
@@ -22,6 +23,9 @@
 /// Bound the size of a job in the log and the time of a planning round.
 constexpr std::size_t kMaxTasksPerJob = 10'000;
 constexpr std::size_t kMaxStepsPerJob = 100;
+/// Time for which the newest report of a removed worker is kept: longer than
+/// reports are delayed.
+constexpr core::milliseconds kReportRetention{60'000};
 
 core::failure QueueNotFound(const workflow::job_address& address) {
   return core::not_found{address.host + address.path};
@@ -99,6 +103,7 @@
   bool IsLeader() const { return active_dispatcher != nullptr; }
   const workflow::job* FindJob(const workflow::queue& queue,
                                const workflow::job_address& address) const;
+  newest_report& FindNewestReport(const core::worker_id& id);
 
   const service_settings settings;
   const asio::any_io_executor executor;
@@ -115,6 +120,8 @@
   core::event leadership_changed;
   /// Members that have requested to join and are not added yet.
   std::map<core::member_id, core::endpoint> joining;
+  /// By worker. The sequences of earlier terms stay valid.
+  std::map<core::worker_id, newest_report> newest_reports;
 };
 
 awaitable<outcome<void>> service::impl::Record(
@@ -220,28 +227,57 @@
   co_return answer;
 }
 
+/// @return the newest report of a worker; an empty one if there is none.
+newest_report& service::impl::FindNewestReport(const core::worker_id& id) {
+  const auto it = newest_reports.find(id);
+  if (it != newest_reports.end()) return it->second;
+  const auto& known = machine.State().Workers();
+  std::erase_if(newest_reports, [&](const auto& entry) {
+    const newest_report& report = entry.second;
+    return report.recording == 0 && !known.contains(entry.first) &&
+           clock.Now() > report.received_at + kReportRetention;
+  });
+  return newest_reports[id];
+}
+
 awaitable<answer_body> service::impl::Answer(
     workflow::worker_heartbeat request) {
-  const auto& known = machine.State().Workers();
-  const auto it = known.find(request.worker.key.id);
   const workflow::worker_key key = request.worker.key;
-  const std::int64_t clock_ms = request.clock_ms;
-  if (it != known.end() && it->second.key.incarnation > key.incarnation) {
+  const auto& known = machine.State().Workers();
+  const auto it = known.find(key.id);
+  const workflow::worker* const registered =
+      it == known.end() ? nullptr : &it->second;
+  newest_report& newest = FindNewestReport(key.id);
+  if (registered != nullptr) {
+    newest.worker = Merge(std::move(newest.worker), *registered);
+  }
+  if (newest.worker.key.incarnation > key.incarnation) {
     co_return workflow::accepted{};
   }
-  // A delayed heartbeat does not end a drain.
-  const bool is_late =
-      it != known.end() && it->second.key == key && it->second.draining;
-  if (is_late) request.worker.draining = true;
-  if (it == known.end() || it->second != request.worker) {
-    spdlog::info("worker_announced worker={} born={} draining={}", key.id.v,
-                 key.incarnation, request.worker.draining);
-    workflow::event event =
-        workflow::worker_announced{std::move(request.worker)};
+  const bool is_late = IsLate(request.worker, newest.worker);
+  newest.worker = Merge(std::move(newest.worker), std::move(request.worker));
+  newest.received_at = clock.Now();
+  // While an announcement is being recorded, the state is not the latest yet.
+  const bool is_recorded = newest.recording == 0 && registered != nullptr &&
+                           HaveSameContent(*registered, newest.worker);
+  if (!is_recorded) {
+    const core::resources& capacity = newest.worker.capacity;
+    spdlog::info(
+        "worker_announced worker={} born={} sequence={} draining={} cpu={} "
+        "mem={} accelerators={}",
+        key.id.v, key.incarnation, newest.worker.report_sequence,
+        newest.worker.draining, capacity.cpu_milli, capacity.memory_mib,
+        capacity.accelerators);
+    workflow::event event = workflow::worker_announced{newest.worker};
+    ++newest.recording;
     const auto answer = co_await RecordOne(std::move(event));
+    --newest.recording;
     if (!std::holds_alternative<workflow::accepted>(answer)) co_return answer;
   }
-  if (active_dispatcher) active_dispatcher->OnHeartbeat(key, clock_ms);
+  // A late report does not show that the worker is still there.
+  if (active_dispatcher && !is_late) {
+    active_dispatcher->OnHeartbeat(key, request.clock_ms);
+  }
   co_return workflow::accepted{};
 }
 
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -179,6 +179,7 @@
   Write(value.capacity, builder.initCapacity());
   SetTexts(builder.initLabels(value.labels.size()), value.labels);
   builder.setDraining(value.draining);
+  builder.setReportSequence(value.report_sequence);
 }
 
 void Read(schema::WorkerSpec::Reader reader, workflow::worker& value,
@@ -190,6 +191,7 @@
   Read(reader.getCapacity(), value.capacity, budget);
   ReadList(reader.getLabels(), value.labels, budget);
   value.draining = reader.getDraining();
+  value.report_sequence = reader.getReportSequence();
 }
 
 void Write(const workflow::task_id& value,
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -72,6 +72,7 @@
   capacity @4 :Cell.Resources;
   labels @5 :List(Text);
   draining @6 :Bool;
+  reportSequence @7 :Int64;
 }
 
 struct WorkflowTaskId {
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -154,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d45b3f6922cebedb, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d45b3f6922cebedb, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1301,6 +1301,8 @@
 
   inline bool getDraining() const;
 
+  inline  ::int64_t getReportSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1375,6 +1377,9 @@
   inline bool getDraining();
   inline void setDraining(bool value);
 
+  inline  ::int64_t getReportSequence();
+  inline void setReportSequence( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4905,6 +4910,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t WorkerSpec::Reader::getReportSequence() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t WorkerSpec::Builder::getReportSequence() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WorkerSpec::Builder::setReportSequence( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkflowTaskId::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -17,6 +17,7 @@
   w.address = {"127.0.0.1", 80};
   w.pool = "pool";
   w.capacity = {8'000, 8'000, 0};
+  w.report_sequence = 3;
   return w;
 }
 
