Refuse reports of a capacity that is negative or too large

Cause: the capacity of a worker's report was taken as it came. Sums over the workers of a pool and products with the tasks of a step are 64-bit: amounts near the largest overflow them, and a negative amount is no capacity.

Change: a report with an amount below 0 or above 10^12 of any resource is answered as invalid and changes nothing. Products with the 10,000 tasks that a job may have stay below 2^63. Zero is allowed.

--- a/src/dispatch/capacity_test.cpp
+++ b/src/dispatch/capacity_test.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "dispatch/dispatcher_fixture.h"
 #include "dispatch/planning_types.h"
 #include "dispatch/service_fixture.h"
@@ -444,5 +446,25 @@
   EXPECT_TRUE(machine_.State().Workers().empty());
 }
 
+// Guards against amounts whose sums overflow, and against negative ones: a
+// malformed report must leave the registered capacity as it is.
+TEST_F(WorkerReportTest, AReportOfAnImpossibleCapacityIsRefused) {
+  Handle(Report(1, 2'000));
+  constexpr std::int64_t kLargest = std::numeric_limits<std::int64_t>::max();
+  const core::resources impossible[] = {
+      {-1, 8'000, 0},           {2'000, -1, 0},       {2'000, 8'000, -1},
+      {kLargest, 8'000, 0},     {2'000, kLargest, 0}, {2'000, 8'000, kLargest},
+      {-kLargest - 1, 8'000, 0}};
+  std::int64_t sequence = 1;
+  for (const core::resources& capacity : impossible) {
+    workflow::worker_heartbeat report = Report(++sequence, 0);
+    report.worker.capacity = capacity;
+    EXPECT_TRUE(Fails<core::invalid_request>(Handle(report)));
+    EXPECT_EQ(RegisteredCpu(), 2'000);
+  }
+  Handle(Report(++sequence, 0));
+  EXPECT_EQ(RegisteredCpu(), 0);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -23,6 +23,9 @@
 /// Bound the size of a job in the log and the time of a planning round.
 constexpr std::size_t kMaxTasksPerJob = 10'000;
 constexpr std::size_t kMaxStepsPerJob = 100;
+/// Largest amount of one resource of a worker, so that sums over a cell and
+/// products with the tasks of a job don't overflow.
+constexpr std::int64_t kMaxCapacity = 1'000'000'000'000;
 /// Time for which the newest report of a removed worker is kept: longer than
 /// reports are delayed.
 constexpr core::milliseconds kReportRetention{60'000};
@@ -69,6 +72,12 @@
   return std::nullopt;
 }
 
+/// @return whether the amounts can be those of a worker; zero is allowed.
+bool IsPossible(const core::resources& capacity) {
+  const core::resources largest{kMaxCapacity, kMaxCapacity, kMaxCapacity};
+  return capacity.Holds({}) && largest.Holds(capacity);
+}
+
 }  // namespace
 
 struct service::impl : std::enable_shared_from_this<service::impl> {
@@ -242,6 +251,9 @@
 
 awaitable<answer_body> service::impl::Answer(
     workflow::worker_heartbeat request) {
+  if (!IsPossible(request.worker.capacity)) {
+    co_return Invalid("capacity", "is negative or too large");
+  }
   const workflow::worker_key key = request.worker.key;
   const auto& known = machine.State().Workers();
   const auto it = known.find(key.id);
