Report no less free capacity than there is in the load line

Cause: the sum of the free processors in the leader_load line took the excess use of workers whose capacity has shrunk from the free part of others.

Change: a worker counts with 0 at least. A test of a gang that preempts on such a worker is added; it found no fault.

--- a/src/dispatch/capacity_test.cpp
+++ b/src/dispatch/capacity_test.cpp
@@ -1,4 +1,8 @@
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
 #include <limits>
+#include <sstream>
 
 #include "dispatch/dispatcher_fixture.h"
 #include "dispatch/planning_types.h"
@@ -285,6 +289,30 @@
   EXPECT_EQ(CountRunning("w2"), 1u);
 }
 
+// Guards against a gang that preempts too few runs on a worker that runs more
+// than its capacity, or starts before enough of them have ended.
+TEST_F(CapacityTest, AGangPreemptsTheExcessUseToo) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  queue_.priority = 2;
+  urgent_ = queue_;
+  urgent_.name = "urgent";
+  urgent_.path_prefix = "/urgent/";
+  urgent_.priority = 1;
+  BeginTerm();
+  workflow::step small = Step(4, 2'000);
+  small.checkpointing = true;
+  Submit("small", {small}, queue_);
+  RunFor(milliseconds(200));
+  ASSERT_EQ(CountRunning("w1"), 4u);
+  Resize(w1, 4'000);
+  RunFor(milliseconds(200));
+  EXPECT_TRUE(workers_.stops.empty());
+  Submit("gang", {Gang(1, 3'000)}, urgent_);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(CountStarts("gang"), 1u);
+  EXPECT_EQ(workers_.stops.size(), 4u);
+}
+
 // Guards against a new leader that starts tasks on a worker whose adopted runs
 // exceed its capacity, or stops them.
 TEST_F(CapacityTest, ANewLeaderStartsNothingBesideRunsThatExceedTheCapacity) {
@@ -322,6 +350,25 @@
   EXPECT_EQ(CountStarts("small"), 0u);
 }
 
+// Guards against a line of the log that reports less free capacity than there
+// is, as the excess use of one worker is taken from the free part of others.
+TEST_F(CapacityTest, TheLoadLineCountsNoExcessUse) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  Submit("a", {Step(4, 2'000)}, queue_);
+  RunFor(milliseconds(100));
+  Resize(w1, 2'000);
+  AddWorker("w2");
+  std::ostringstream log;
+  const auto sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(log);
+  auto& sinks = spdlog::default_logger()->sinks();
+  sinks.push_back(sink);
+  RunWithHeartbeats(seconds(3));
+  std::erase(sinks, sink);
+  EXPECT_NE(log.str().find(" cpu=10 free_cpu=8"), std::string::npos)
+      << log.str();
+}
+
 // Guards against a bound on what a gang can reach that counts processors for
 // tasks that need none.
 TEST_F(CapacityTest, AGangWithoutNeedOfProcessorsStartsWithoutAvailableOnes) {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -339,7 +339,9 @@
     state.usable_workers += pool.workers.size();
     for (const usable_worker& worker : pool.workers) {
       state.cpu_milli += worker.capacity.cpu_milli;
-      state.free_cpu_milli += worker.free_at_round_start.cpu_milli;
+      // Negative where the capacity has shrunk below what runs.
+      state.free_cpu_milli +=
+          std::max<std::int64_t>(0, worker.free_at_round_start.cpu_milli);
     }
   }
   for (const auto& [key, view] : eligibility_by_step) {
