--- a/src/dispatch/capacity_test.cpp
+++ b/src/dispatch/capacity_test.cpp
@@ -369,6 +369,39 @@
       << log.str();
 }
 
+// Guards against any start on a worker that runs more than its capacity: one
+// that needs no processors leaves it over its capacity as well.
+TEST_F(CapacityTest, ATaskWithoutNeedWaitsUntilTheExcessUseEnds) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  Submit("a", {Step(2, 3'000)}, queue_);
+  RunFor(milliseconds(100));
+  Resize(w1, 5'000);
+  workflow::step filler = Step(1, 500);
+  filler.filler = true;
+  Submit("filler", {filler}, queue_);
+  RunWithHeartbeats(seconds(1));
+  EXPECT_EQ(CountStarts("filler"), 0u);
+  workers_.End({"w1"}, RunOf("a", 0, 1), run_end::kDone);
+  RunWithHeartbeats(milliseconds(300));
+  EXPECT_EQ(CountStarts("filler"), 1u);
+}
+
+// Guards against runs of an earlier incarnation that start over the capacity of
+// the next one, which may be smaller.
+TEST_F(CapacityTest, ARestartWithLessCapacityDuringTheCommit) {
+  AddWorker("w1");
+  BeginTerm();
+  event_log_.latency = milliseconds(50);
+  Submit("j", {Step(3, 2'000)}, queue_);
+  RunFor(milliseconds(20));
+  ASSERT_TRUE(workers_.starts.empty());
+  AddWorker("w1", 2, 3'000);
+  RunWithHeartbeats(seconds(3));
+  EXPECT_EQ(CountRunning("w1"), 1u);
+  EXPECT_EQ(workers_.starts.size(), 1u);
+}
+
 // Guards against a bound on what a gang can reach that counts processors for
 // tasks that need none.
 TEST_F(CapacityTest, AGangWithoutNeedOfProcessorsStartsWithoutAvailableOnes) {
