Mark runs whose start order was sent, rather than the others

A run of the table is `ordered` once its start order is sent; runs of an earlier leader always are. The sum of the ordered runs is what a start order is checked against; behaviour is unchanged.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -98,6 +98,7 @@
           monitor->second->runs.Add(
               run, {.need = NeedOf(step),
                     .tracked_since = clock.Now(),
+                    .ordered = true,
                     .resolved_after_poll = 0,
                     .priority = event_log.State().QueueOf(job).priority,
                     .resumable = step.checkpointing});
@@ -160,7 +161,6 @@
   const auto& monitor = monitors[id];
   tracked_run transferred = previous;
   transferred.stopping = false;
-  transferred.order_pending = false;
   tracked_run& tracked = monitor->runs.Add(run, std::move(transferred));
   run_monitors[run] = monitor;
   if (previous.resolved_after_poll && !previous.stopping) {
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -15,6 +15,8 @@
 struct tracked_run {
   core::resources need;
   core::time_point tracked_since;
+  /// A start order was sent; always set for runs of an earlier leader.
+  bool ordered = false;
   /// Time at which the worker confirmed the start or first listed the run.
   std::optional<core::time_point> started_at;
   /// Number of polls sent when the worker confirmed the start or a stop, or 0
@@ -22,8 +24,6 @@
   /// does not list the run, the worker does not have it.
   std::optional<std::uint64_t> resolved_after_poll;
   bool stopping = false;
-  /// No order was sent for the run yet.
-  bool order_pending = false;
   /// Priority of the job's queue.
   std::int32_t priority = 0;
   /// Whether the run can be stopped without loss of work.
@@ -45,7 +45,7 @@
     Remove(run);
     used_ = used_ + tracked.need;
     if (tracked.stopping) releasing_ = releasing_ + tracked.need;
-    if (tracked.order_pending) pending_ = pending_ + tracked.need;
+    if (tracked.ordered) ordered_ = ordered_ + tracked.need;
     return runs_.emplace(run, std::move(tracked)).first->second;
   }
   /// Does nothing if there is no such run.
@@ -61,8 +61,8 @@
       if (predicate(current->first, current->second)) Remove(current);
     }
   }
-  /// @return the run, or null. Its need, `stopping` and `order_pending` must
-  /// not be changed.
+  /// @return the run, or null. Its need, `stopping` and `ordered` must not be
+  /// changed.
   tracked_run* Find(const workflow::run_id& run) {
     const auto it = runs_.find(run);
     return it == runs_.end() ? nullptr : &it->second;
@@ -73,12 +73,11 @@
     tracked.stopping = true;
     releasing_ = releasing_ + tracked.need;
   }
-
   /// Notes that the order to start a run of the table is being sent.
   void SetOrdered(tracked_run& tracked) {
-    if (!tracked.order_pending) return;
-    tracked.order_pending = false;
-    pending_ = pending_ - tracked.need;
+    if (tracked.ordered) return;
+    tracked.ordered = true;
+    ordered_ = ordered_ + tracked.need;
   }
 
   bool Contains(const workflow::run_id& run) const {
@@ -89,9 +88,9 @@
   const map& Runs() const { return runs_; }
   /// Resources of all runs.
   const core::resources& Used() const { return used_; }
-  /// Resources of the runs that the worker may have: without those for which
-  /// no order was sent.
-  core::resources Ordered() const { return used_ - pending_; }
+  /// Resources of the runs that the worker may have: those for which a start
+  /// order was sent.
+  core::resources Ordered() const { return ordered_; }
   /// Resources of the runs that are being stopped.
   const core::resources& Releasing() const { return releasing_; }
 
@@ -99,15 +98,14 @@
   void Remove(map::iterator it) {
     used_ = used_ - it->second.need;
     if (it->second.stopping) releasing_ = releasing_ - it->second.need;
-    if (it->second.order_pending) pending_ = pending_ - it->second.need;
+    if (it->second.ordered) ordered_ = ordered_ - it->second.need;
     runs_.erase(it);
   }
 
   map runs_;
   core::resources used_;
   core::resources releasing_;
-  /// Resources of the runs for which no order was sent.
-  core::resources pending_;
+  core::resources ordered_;
 };
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/run_table_test.cpp
+++ b/src/dispatch/run_table_test.cpp
@@ -28,15 +28,18 @@
   EXPECT_EQ(runs.Releasing(), core::resources{});
   runs.Remove(RunOf(0));
   runs.Remove(RunOf(0));
-  tracked_run& planned =
-      runs.Add(RunOf(2), {.need = {500, 5, 0}, .order_pending = true});
-  runs.Add(RunOf(3), {.need = {700, 7, 0}, .order_pending = true});
+  tracked_run& planned = runs.Add(RunOf(2), {.need = {500, 5, 0}});
+  runs.Add(RunOf(3), {.need = {700, 7, 0}});
   EXPECT_EQ(runs.Used(), (core::resources{1'200, 12, 0}));
   EXPECT_EQ(runs.Ordered(), core::resources{});
   runs.SetOrdered(planned);
   runs.SetOrdered(planned);
   EXPECT_EQ(runs.Ordered(), (core::resources{500, 5, 0}));
+  runs.Add(RunOf(4), {.need = {300, 3, 0}, .ordered = true});
+  EXPECT_EQ(runs.Ordered(), (core::resources{800, 8, 0}));
+  runs.Remove(RunOf(4));
   runs.Remove(RunOf(3));
+  EXPECT_EQ(runs.Ordered(), (core::resources{500, 5, 0}));
   runs.Remove(RunOf(2));
   EXPECT_EQ(runs.Ordered(), core::resources{});
   EXPECT_EQ(runs.Used(), core::resources{});
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -58,7 +58,6 @@
   const auto& monitor = option.worker->monitor;
   monitor->runs.Add(run, {.need = NeedOf(step),
                           .tracked_since = clock.Now(),
-                          .order_pending = true,
                           .priority = queue.priority,
                           .resumable = step.checkpointing});
   run_monitors[run] = monitor;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -197,6 +197,7 @@
       spdlog::warn("run_unexpected run={} worker={}", Name(run.run),
                    monitor->worker.key.id.v);
       monitor->runs.Add(run.run, {.need = NeedOfRun(event_log.State(), run.run),
+                                  .ordered = true,
                                   .resolved_after_poll = monitor->polls_sent});
       run_monitors[run.run] = monitor;
       NoteStarted(run.run.task.job);
