--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -47,6 +47,7 @@
     Remove(run);
     used_ = used_ + tracked.need;
     if (tracked.stopping) releasing_ = releasing_ + tracked.need;
+    if (tracked.ordered) ordered_ = ordered_ + tracked.need;
     return runs_.emplace(run, std::move(tracked)).first->second;
   }
   /// Does nothing if there is no such run.
@@ -62,7 +63,8 @@
       if (predicate(current->first, current->second)) Remove(current);
     }
   }
-  /// @return the run, or null. Its need and `stopping` must not be changed.
+  /// @return the run, or null. Its need, `stopping` and `ordered` must not be
+  /// changed.
   tracked_run* Find(const workflow::run_id& run) {
     const auto it = runs_.find(run);
     return it == runs_.end() ? nullptr : &it->second;
@@ -73,6 +75,12 @@
     tracked.stopping = true;
     releasing_ = releasing_ + tracked.need;
   }
+  /// Notes that the order to start a run of the table is being sent.
+  void SetOrdered(tracked_run& tracked) {
+    if (tracked.ordered) return;
+    tracked.ordered = true;
+    ordered_ = ordered_ + tracked.need;
+  }
 
   bool Contains(const workflow::run_id& run) const {
     return runs_.contains(run);
@@ -82,6 +90,9 @@
   const map& Runs() const { return runs_; }
   /// Resources of all runs.
   const core::resources& Used() const { return used_; }
+  /// Resources of the runs that the worker may have: those for which a start
+  /// order was sent.
+  core::resources Ordered() const { return ordered_; }
   /// Resources of the runs that are being stopped.
   const core::resources& Releasing() const { return releasing_; }
 
@@ -89,12 +100,14 @@
   void Remove(map::iterator it) {
     used_ = used_ - it->second.need;
     if (it->second.stopping) releasing_ = releasing_ - it->second.need;
+    if (it->second.ordered) ordered_ = ordered_ - it->second.need;
     runs_.erase(it);
   }
 
   map runs_;
   core::resources used_;
   core::resources releasing_;
+  core::resources ordered_;
 };
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -291,6 +291,17 @@
     co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
     co_return;
   }
+  tracked_run* tracked = monitor->runs.Find(planned.run);
+  if (tracked == nullptr) co_return;
+  // The capacity may have shrunk since the round that planned the run.
+  if (!monitor->worker.capacity.Holds(monitor->runs.Ordered() +
+                                      tracked->need)) {
+    spdlog::info("run_held_back run={} worker={}", Name(planned.run),
+                 monitor->worker.key.id.v);
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
+  monitor->runs.SetOrdered(*tracked);
   start_order order{term,
                     planned.run,
                     job->spec.payload,
@@ -300,9 +311,6 @@
   order.checkpoint =
       job->tasks[*job->FindTaskIndex(planned.run.task)].checkpoint;
   monitor->wakeup.NotifyAll();
-  tracked_run* tracked = monitor->runs.Find(planned.run);
-  if (tracked == nullptr) co_return;
-  tracked->ordered = true;
   const worker_target to = TargetOf(*monitor);
   const auto result =
       co_await workers.Start(to, std::move(order), kOrderTimeout);
