Count the tasks of a job without overflow

A job of 16 steps of 2^30 tasks with 2^30 occurrences has 2^64 tasks, which the check of the limit counted as 0.

The state ignores such a job as well, so that a log that has one can be replayed. The bounds of values from other systems are in workflow/limits.h.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -20,7 +20,7 @@
   friend bool operator==(const catalog_declared&,
                          const catalog_declared&) = default;
 };
-/// Changes nothing if the job is known already.
+/// Changes nothing if the job is known already or has too many tasks.
 struct job_accepted {
   job_spec spec;
   /// The queue as declared then; stays valid for the job if it is removed.
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "mangoplank/wire/codec.h"
+#include "mangoplank/workflow/limits.h"
 
 namespace mangoplank::dispatch {
 
@@ -19,9 +20,6 @@
 namespace {
 
 constexpr core::milliseconds kMembershipInterval{250};
-/// Bound the size of a job in the log and the time of a planning round.
-constexpr std::size_t kMaxTasksPerJob = 10'000;
-constexpr std::size_t kMaxStepsPerJob = 100;
 
 core::failure QueueNotFound(const workflow::job_address& address) {
   return core::not_found{address.host + address.path};
@@ -36,17 +34,15 @@
   if (spec.id.empty() || spec.id.find('/') != std::string::npos) {
     return Invalid("id", "must be one path segment");
   }
-  if (spec.steps.empty() || spec.steps.size() > kMaxStepsPerJob) {
+  if (spec.steps.empty() || spec.steps.size() > workflow::kMaxStepsPerJob) {
     return Invalid("steps", "must be 1 to 100");
   }
-  std::size_t tasks = 0;
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     const workflow::step& step = spec.steps[i];
     const std::string step_field = "steps." + std::to_string(i);
     if (step.count == 0) {
       return Invalid(step_field + ".count", "must be at least 1");
     }
-    tasks += step.count;
     if (step.need.cpu_milli < 0 || step.need.memory_mib < 0 ||
         step.need.accelerators < 0) {
       return Invalid(step_field + ".need", "must not be negative");
@@ -57,9 +53,7 @@
       }
     }
   }
-  const std::size_t occurrences =
-      spec.repeat_count == 0 ? 1 : spec.repeat_count;
-  if (tasks * occurrences > kMaxTasksPerJob) {
+  if (!workflow::IsTaskCountValid(spec)) {
     return Invalid("steps", "must have at most 10,000 tasks in all");
   }
   return std::nullopt;
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -245,5 +245,25 @@
   EXPECT_TRUE(machine_.State().Workers().empty());
 }
 
+// Guards against a job whose number of tasks overflows to a small one: applying
+// it ends every member, at every start.
+TEST_F(ServiceTest, RefusesJobsThatAreTooLarge) {
+  Declare(1, "/q/");
+  const auto submit = [&](std::size_t steps, std::uint32_t count,
+                          std::uint32_t repeat_count) {
+    workflow::submit_job request{{"host", "/q/1"}, {}};
+    request.spec.steps.resize(steps);
+    for (workflow::step& step : request.spec.steps) step.count = count;
+    request.spec.repeat_count = repeat_count;
+    return Handle(std::move(request));
+  };
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(16, 1u << 30, 1u << 30)));
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(1, 10'001, 0)));
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(101, 1, 0)));
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(1, 0, 0)));
+  EXPECT_TRUE(machine_.State().Jobs().empty());
+  EXPECT_EQ(submit(100, 10, 10), accepted_);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "mangoplank/workflow/limits.h"
+
 namespace mangoplank::workflow {
 
 namespace {
@@ -79,6 +81,8 @@
 }
 
 void state::On(const job_accepted& event) {
+  // Every member would run out of memory, at every start.
+  if (!IsTaskCountValid(event.spec)) return;
   const auto [it, added] = jobs_.try_emplace(event.spec.id);
   if (!added) return;
   job& job = it->second;
