Refuse job ids that orders can't carry

A job id comes from the path of a request and may hold any bytes. One that is no UTF-8 makes every start order malformed JSON: workers answer 400, the run counts as not started, and the next round starts it again, without end. Ids are 1 to 256 visible ASCII characters without a slash.

ServiceTest.RefusesJobIdsThatOrdersCannotCarry failed for all of its five ids before the change.

--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -31,8 +31,8 @@
 
 /// @return the failure of the first invalid field, or no value.
 std::optional<core::failure> FindInvalidField(const workflow::job_spec& spec) {
-  if (spec.id.empty() || spec.id.find('/') != std::string::npos) {
-    return Invalid("id", "must be one path segment");
+  if (!workflow::IsValidId(spec.id)) {
+    return Invalid("id", "must be one path segment of visible characters");
   }
   if (spec.steps.empty() || spec.steps.size() > workflow::kMaxStepsPerJob) {
     return Invalid("steps", "must be 1 to 100");
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -265,5 +265,18 @@
   EXPECT_EQ(submit(100, 10, 10), accepted_);
 }
 
+// Guards against a job id that no order can carry: JSON can't encode it, so
+// that workers refuse each start and the task is started again without end.
+TEST_F(ServiceTest, RefusesJobIdsThatOrdersCannotCarry) {
+  Declare(1, "/q/");
+  for (const std::string& id :
+       {std::string("\xff"), std::string("a b"), std::string("a\0", 2),
+        std::string(257, 'x'), std::string(1'000'000, 'x')}) {
+    EXPECT_TRUE(Fails<core::invalid_request>(Handle(Submit("/q/" + id))))
+        << id.size();
+  }
+  EXPECT_TRUE(machine_.State().Jobs().empty());
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
