--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -115,11 +115,14 @@
   }
   boost::system::error_code ec;
   boost::asio::ip::make_address(address, ec);
+  // The parser of addresses stops at a NUL.
+  const bool has_nul = address.find('\0') != std::string::npos;
   const std::string_view digits = text.substr(colon + 1);
   std::uint16_t port = 0;
   const auto [end, parsed] =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (ec || parsed != std::errc() || end != digits.data() + digits.size()) {
+  if (ec || has_nul || parsed != std::errc() ||
+      end != digits.data() + digits.size()) {
     return Fail(error);
   }
   return core::endpoint{std::move(address), port};
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -60,5 +60,21 @@
       3);
 }
 
+// Guards against an endpoint that names another address or port than its text.
+TEST(SettingsTest, RejectsMalformedEndpoints) {
+  const auto parse = [](std::string_view text) {
+    return core::Capture([&] { return ParseEndpoint(text); });
+  };
+  EXPECT_TRUE(parse("10.0.0.9:65535"));
+  EXPECT_TRUE(parse("[::1]:80"));
+  for (const std::string_view text :
+       {"", ":", "10.0.0.9", "10.0.0.9:", ":80", "10.0.0.9:65536",
+        "10.0.0.9:-1", "10.0.0.9:+80", "10.0.0.9:99999999999", "10.0.0.9:80 ",
+        "10.0.0.256:80", "host:80"}) {
+    EXPECT_FALSE(parse(text)) << text;
+  }
+  EXPECT_FALSE(parse(std::string_view("10.0.0.9\0x:80", 14)));
+}
+
 }  // namespace
 }  // namespace mangoplank::settings
