Keep the id of a worker that answers

A report with a later incarnation replaced the registered one at once. One of another writer, with a start time far in the future, shut out the sound worker for as long as it was repeated: the sound worker's reports counted as delayed, and the reports of the false one kept it from being removed as silent. Leases lapsed, and with them the running tasks.

The leader now polls the registered incarnation before it registers a later one, and refuses the report if the answer names the registered one. The poll has 400 ms, as a report must be answered within a second; an incarnation that has ended answers with its own start time, 421 or not at all. If the sound worker was silent just then, the false incarnation is registered; it gives way once it has answered no poll of the term, its lease time has passed and an earlier one reports.

AWorkerThatAnswersKeepsItsId and AnIncarnationThatNeverAnswersGivesWay failed before.

--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -49,6 +49,15 @@
   /// Called for each heartbeat; `clock_ms` is the worker's steady clock.
   void OnHeartbeat(const workflow::worker_key& worker, std::int64_t clock_ms);
 
+  /// Polls a registered incarnation of a worker.
+  /// @return whether it answers and names itself: a report of a later one under
+  /// the same id is then false.
+  core::awaitable<bool> ConfirmIncarnation(workflow::worker_key worker);
+  /// Removes a registered incarnation that has answered no poll of this term
+  /// and whose lease has ended, since an earlier one still reports.
+  /// @return whether it was removed.
+  core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
+
  private:
   struct impl;
   std::shared_ptr<impl> impl_;
--- a/include/mangoplank/dispatch/ports.h
+++ b/include/mangoplank/dispatch/ports.h
@@ -122,6 +122,9 @@
   std::int64_t clock_ms = 0;
   std::vector<running_run> running;
   std::vector<ended_run> ended;
+  /// Whether the answer names the incarnation that was polled, which shows that
+  /// no later one has taken its place.
+  bool names_incarnation = false;
   friend bool operator==(const worker_report&, const worker_report&) = default;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -417,5 +417,13 @@
                              std::int64_t clock_ms) {
   impl_->OnHeartbeat(key, clock_ms);
 }
+awaitable<bool> dispatcher::ConfirmIncarnation(workflow::worker_key worker) {
+  const auto self = impl_;
+  co_return co_await self->ConfirmIncarnation(std::move(worker));
+}
+awaitable<bool> dispatcher::RemoveUnconfirmed(workflow::worker_key worker) {
+  const auto self = impl_;
+  co_return co_await self->RemoveUnconfirmed(std::move(worker));
+}
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -105,6 +105,10 @@
   worker_target TargetOf(const worker_monitor& monitor) const;
   core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
                                      std::string reason);
+  std::shared_ptr<worker_monitor> FindMonitor(
+      const workflow::worker_key& worker) const;
+  core::awaitable<bool> ConfirmIncarnation(workflow::worker_key worker);
+  core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
   std::optional<std::int64_t> NextLeaseEndMs(worker_monitor& monitor);
   void UpdateClock(worker_monitor& monitor, std::int64_t clock_ms);
   std::int64_t MinClockMs(const worker_monitor& monitor,
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -61,6 +61,9 @@
   std::vector<start_order> starts;
   std::vector<stop_order> stops;
   std::vector<poll_order> polls;
+  /// Incarnations that the answers to polls name, for workers that name them. A
+  /// poll of another incarnation counts as not answered.
+  std::map<core::worker_id, core::wall_time_ms> named_incarnations;
   /// Workers that do not answer.
   std::set<core::worker_id> silent;
   core::fake_clock& clock;
@@ -111,6 +114,9 @@
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
     }
+    const auto named = named_incarnations.find(to.key.id);
+    const bool is_named = named != named_incarnations.end();
+    if (is_named && named->second != to.key.incarnation) co_return no_answer{};
     worker_state& state = states[to.key.id];
     state.term = std::max(state.term, order.term);
     state.acknowledged_ends = order.recorded_ends;
@@ -128,6 +134,7 @@
       report.running.push_back({run, checkpoint, 50});
     }
     report.ended = state.ended;
+    report.names_incarnation = is_named;
     co_return report;
   }
 };
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -81,6 +81,8 @@
   awaitable<answer_body> Answer(workflow::get_job request);
   awaitable<answer_body> Answer(workflow::cancel_job request);
   awaitable<answer_body> Answer(workflow::worker_heartbeat request);
+  awaitable<std::optional<answer_body>> CheckIncarnation(
+      workflow::worker_key reported);
   awaitable<answer_body> Answer(workflow::deregister_worker request);
   awaitable<answer_body> Answer(workflow::declare_catalog request);
   awaitable<answer_body> Answer(workflow::read_catalog request);
@@ -214,12 +216,41 @@
   co_return answer;
 }
 
+/// Decides whether a report may register its incarnation. The later one holds
+/// the id, unless it is shown to be false: an earlier one still answers, or the
+/// later one has not answered for a lease while the earlier one reports.
+/// @return the answer to a report that registers nothing.
+awaitable<std::optional<answer_body>> service::impl::CheckIncarnation(
+    workflow::worker_key reported) {
+  const auto& known = machine.State().Workers();
+  const auto it = known.find(reported.id);
+  if (it == known.end() || it->second.key == reported) co_return std::nullopt;
+  const workflow::worker_key registered = it->second.key;
+  if (registered.incarnation > reported.incarnation) {
+    // Delayed, unless the registered incarnation is false.
+    const bool gives_way =
+        active_dispatcher != nullptr &&
+        co_await active_dispatcher->RemoveUnconfirmed(registered);
+    if (gives_way) co_return std::nullopt;
+    co_return answer_body(workflow::accepted{});
+  }
+  const bool is_held =
+      active_dispatcher != nullptr &&
+      co_await active_dispatcher->ConfirmIncarnation(registered);
+  if (!is_held) co_return std::nullopt;
+  co_return answer_body(
+      Invalid("incarnation", "an earlier one answers under this id"));
+}
+
 awaitable<answer_body> service::impl::Answer(
     workflow::worker_heartbeat request) {
-  const auto& known = machine.State().Workers();
-  const auto it = known.find(request.worker.key.id);
   const workflow::worker_key key = request.worker.key;
   const std::int64_t clock_ms = request.clock_ms;
+  auto refused = co_await CheckIncarnation(key);
+  if (refused) co_return std::move(*refused);
+  const auto& known = machine.State().Workers();
+  const auto it = known.find(key.id);
+  // Registered while the report was checked.
   if (it != known.end() && it->second.key.incarnation > key.incarnation) {
     co_return workflow::accepted{};
   }
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -89,6 +89,17 @@
     return workflow::get_job{{"host", path}};
   }
 
+  workflow::answer_body Report(core::wall_time_ms incarnation) {
+    workflow::worker_heartbeat heartbeat;
+    heartbeat.worker.key = {{"w"}, incarnation};
+    return Handle(std::move(heartbeat));
+  }
+  core::wall_time_ms KnownIncarnation() const {
+    const auto& known = machine_.State().Workers();
+    const auto it = known.find({"w"});
+    return it == known.end() ? 0 : it->second.key.incarnation;
+  }
+
   const workflow::answer_body accepted_ = workflow::accepted{};
   consensus::fake_cluster cluster_;
   consensus::fake_disk disk_;
@@ -278,5 +289,53 @@
   EXPECT_TRUE(machine_.State().Jobs().empty());
 }
 
+// Guards against a report of another writer, with a later incarnation, that
+// shuts out a sound worker.
+TEST_F(ServiceTest, AWorkerThatAnswersKeepsItsId) {
+  workers_.named_incarnations[{"w"}] = 5;
+  EXPECT_EQ(Report(5), accepted_);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_TRUE(Fails<core::invalid_request>(Report(9'000'000'000'000)));
+    EXPECT_EQ(Report(5), accepted_);
+    EXPECT_EQ(KnownIncarnation(), 5);
+    cluster_.RunFor(seconds(1));
+  }
+  // The worker restarts.
+  workers_.named_incarnations[{"w"}] = 6;
+  EXPECT_EQ(Report(6), accepted_);
+  EXPECT_EQ(KnownIncarnation(), 6);
+}
+
+// Guards against a false report that came while the sound worker was silent,
+// and that is repeated: the worker must get its place back.
+TEST_F(ServiceTest, AnIncarnationThatNeverAnswersGivesWay) {
+  workers_.named_incarnations[{"w"}] = 5;
+  EXPECT_EQ(Report(5), accepted_);
+  workers_.silent.insert({"w"});
+  EXPECT_EQ(Report(9'000'000'000'000), accepted_);
+  EXPECT_EQ(KnownIncarnation(), 9'000'000'000'000);
+  workers_.silent.clear();
+  for (int i = 0; i < 10; ++i) {
+    Report(9'000'000'000'000);
+    EXPECT_EQ(Report(5), accepted_);
+    cluster_.RunFor(seconds(1));
+  }
+  EXPECT_EQ(KnownIncarnation(), 5);
+}
+
+// Guards against a worker that is removed since an earlier incarnation's report
+// is delayed: its tasks would start elsewhere under its lease.
+TEST_F(ServiceTest, ADelayedReportRemovesNoWorkerUnderItsLease) {
+  workers_.named_incarnations[{"w"}] = 6;
+  EXPECT_EQ(Report(6), accepted_);
+  workers_.silent.insert({"w"});
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(Report(5), accepted_);
+    EXPECT_EQ(Report(6), accepted_);
+    EXPECT_EQ(KnownIncarnation(), 6);
+    cluster_.RunFor(seconds(1));
+  }
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -21,6 +21,9 @@
 constexpr core::milliseconds kAckDelay{200};
 /// Time allowed for an answer beyond the wait of the order.
 constexpr core::milliseconds kOrderTimeout{800};
+/// Time allowed for an answer while a report waits for it, which must itself be
+/// answered within a second.
+constexpr core::milliseconds kConfirmationTimeout{400};
 /// Pause after an order without an answer.
 constexpr core::milliseconds kRetryPause{150};
 /// Time without new tasks for a worker that refused or did not answer a start.
@@ -425,4 +428,41 @@
   }
 }
 
+/// @return the monitor of this incarnation, or null.
+std::shared_ptr<worker_monitor> dispatcher::impl::FindMonitor(
+    const workflow::worker_key& worker) const {
+  const auto it = monitors.find(worker.id);
+  const bool is_known =
+      it != monitors.end() && it->second->worker.key == worker;
+  return is_known ? it->second : nullptr;
+}
+
+awaitable<bool> dispatcher::impl::ConfirmIncarnation(
+    workflow::worker_key worker) {
+  const auto monitor = FindMonitor(worker);
+  if (monitor == nullptr || monitor->removed || monitor->unanswered) {
+    co_return false;
+  }
+  // Neither renews the lease nor acknowledges more than is recorded.
+  const poll_order order{term, monitor->recorded_ends, std::nullopt,
+                         core::milliseconds(0)};
+  const worker_target to = TargetOf(*monitor);
+  const auto result = co_await workers.Poll(to, order, kConfirmationTimeout);
+  const auto* const report = std::get_if<worker_report>(&result);
+  co_return report != nullptr && report->names_incarnation && !stopped &&
+      !monitor->removed;
+}
+
+awaitable<bool> dispatcher::impl::RemoveUnconfirmed(
+    workflow::worker_key worker) {
+  const auto monitor = FindMonitor(worker);
+  if (monitor == nullptr || monitor->removed || monitor->synced ||
+      clock.Now() <= monitor->lease_end) {
+    co_return false;
+  }
+  std::string reason = "never answered, and an earlier incarnation reports";
+  co_await RemoveWorker(monitor, std::move(reason));
+  co_return monitor->removed;
+}
+
 }  // namespace mangoplank::dispatch
