Let an answer of a worker correct its clock

A reading of the clock that is far ahead, from a report under the id and start time of a sound worker, was kept for the term: all later readings counted as delayed. An answer that is further behind than its time-out allows now replaces the known reading; a report still does not set the clock back.

BoundsTest.AnAnswerCorrectsTheClock failed before.

--- a/src/dispatch/bounds_test.cpp
+++ b/src/dispatch/bounds_test.cpp
@@ -88,5 +88,24 @@
   EXPECT_GT(workers_.starts[0].lease_until_ms, 0);
 }
 
+// Guards against a reading of the clock, from a report of another writer, that
+// all later readings are compared with: each start counted as unconfirmed.
+TEST_F(BoundsTest, AnAnswerCorrectsTheClock) {
+  BeginTerm();
+  AddWorker("w");
+  RunFor(milliseconds(100));
+  dispatcher_->OnHeartbeat({{"w"}, 1}, kMaxTimeMs);
+  Submit("first", {Step(1, 1)}, queue_);
+  RunFor(seconds(3));
+  Submit("second", {Step(1, 1)}, queue_);
+  RunFor(milliseconds(200));
+  EXPECT_EQ(Phase("second"), workflow::job_phase::kRunning);
+  ASSERT_EQ(CountStarts("second"), 1u);
+  const std::int64_t lease_ms =
+      workers_.starts.back().lease_until_ms - workers_.ClockMs();
+  EXPECT_GT(lease_ms, 0);
+  EXPECT_LE(lease_ms, 6'000);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -292,7 +292,7 @@
   const auto it = monitors.find(key.id);
   ++load.heartbeats;
   if (it == monitors.end() || it->second->worker.key != key) return;
-  UpdateClock(*it->second, clock_ms);
+  UpdateClock(*it->second, clock_ms, reading_source::kReport);
 }
 
 /// Records events together with the jobs that have started since, and how long
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -52,6 +52,10 @@
   core::event wakeup;
 };
 
+/// Where a reading of a worker's clock comes from. An answer comes from the
+/// worker itself; a report may be delayed, or be another writer's.
+enum class reading_source : std::uint8_t { kAnswer, kReport };
+
 struct dispatcher::impl : std::enable_shared_from_this<dispatcher::impl> {
   impl(dispatcher_settings settings, core::term term,
        boost::asio::any_io_executor io_executor, core::clock& clock,
@@ -110,7 +114,8 @@
   core::awaitable<bool> ConfirmIncarnation(workflow::worker_key worker);
   core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
   std::optional<std::int64_t> NextLeaseEndMs(worker_monitor& monitor);
-  void UpdateClock(worker_monitor& monitor, std::int64_t clock_ms);
+  void UpdateClock(worker_monitor& monitor, std::int64_t clock_ms,
+                   reading_source source);
   std::int64_t MinClockMs(const worker_monitor& monitor,
                           core::time_point time) const;
   bool IsClockOfOtherIncarnation(const worker_monitor& monitor,
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -24,6 +24,9 @@
 /// Time allowed for an answer while a report waits for it, which must itself be
 /// answered within a second.
 constexpr core::milliseconds kConfirmationTimeout{400};
+/// Longest time from the reading of a worker's clock to its receipt in an
+/// answer.
+constexpr core::milliseconds kMaxReadingAge = kPollWait + kOrderTimeout;
 /// Pause after an order without an answer.
 constexpr core::milliseconds kRetryPause{150};
 /// Time without new tasks for a worker that refused or did not answer a start.
@@ -64,10 +67,18 @@
 }
 
 void dispatcher::impl::UpdateClock(worker_monitor& monitor,
-                                   std::int64_t clock_ms) {
+                                   std::int64_t clock_ms,
+                                   reading_source source) {
   monitor.last_heard = clock.Now();
-  // A delayed report must not set the clock back.
-  if (monitor.clock_ms && clock_ms < MinClockMs(monitor, clock.Now())) return;
+  if (monitor.clock_ms) {
+    const std::int64_t behind = MinClockMs(monitor, clock.Now()) - clock_ms;
+    // A delayed report must not set the clock back. An answer is delayed by
+    // less than its time-out; one further behind shows that the known reading
+    // was not the worker's.
+    const bool is_correction =
+        source == reading_source::kAnswer && behind > kMaxReadingAge.count();
+    if (behind > 0 && !is_correction) return;
+  }
   monitor.clock_ms = clock_ms;
   monitor.clock_read_at = clock.Now();
 }
@@ -175,7 +186,7 @@
 awaitable<bool> dispatcher::impl::OnReport(
     std::shared_ptr<worker_monitor> monitor, std::uint64_t poll_number,
     bool overtaken, worker_report report) {
-  UpdateClock(*monitor, report.clock_ms);
+  UpdateClock(*monitor, report.clock_ms, reading_source::kAnswer);
   std::vector<workflow::event> events;
   std::uint64_t last = monitor->recorded_ends;
   for (const ended_run& ended : report.ended) {
@@ -306,7 +317,7 @@
   if (tracked == nullptr) co_return;
   const auto* const done = std::get_if<order_done>(&result);
   if (done != nullptr && !IsClockOfOtherIncarnation(*monitor, done->clock_ms)) {
-    UpdateClock(*monitor, done->clock_ms);
+    UpdateClock(*monitor, done->clock_ms, reading_source::kAnswer);
     tracked->resolved_after_poll = monitor->polls_sent;
     tracked->started_at = clock.Now();
     RecordStart(planned.run, *monitor);
