Report answers that are not of the resource interface

`mangoplank-ctl apply` and `diff` ended with 0 and no message when the answer to a read was 200 without a spec, and so did `get` and `top` when it was no object: no failure had been reported, so that the exit code was still that of success. They now print an error and end with the code of an entry that can't serve.

--- a/src/ctl/apply.cpp
+++ b/src/ctl/apply.cpp
@@ -51,14 +51,18 @@
     co_return std::nullopt;
   }
   const auto body = api::ParseJson(answer->body);
-  if (!body || !body->is_object()) co_return std::nullopt;
+  const json::value* const before = body && body->is_object()
+                                        ? body->get_object().if_contains("spec")
+                                        : nullptr;
+  if (before == nullptr || !before->is_object()) {
+    ReportMalformedAnswer();
+    co_return std::nullopt;
+  }
   planned.version = static_cast<core::revision>(NumberAt(*body, "version"));
   // A declaration based on an older version must not undo later changes.
   if (loaded.declaration.version != 0) {
     planned.version = loaded.declaration.version;
   }
-  const json::value* const before = body->get_object().if_contains("spec");
-  if (before == nullptr) co_return std::nullopt;
   planned.differences =
       ListDifferences(*before, api::WriteSpec(loaded.declaration.spec), "spec");
   planned.action = planned.differences.empty() ? step::action_kind::kNone
--- a/src/ctl/session.cpp
+++ b/src/ctl/session.cpp
@@ -109,6 +109,11 @@
   }
 }
 
+void session::ReportMalformedAnswer() {
+  failure_code_ = exit_code::kUnavailable;
+  err_ << "error: the answer is not of the resource interface\n";
+}
+
 void session::PrintValue(const json::value& value) {
   if (command_.output == output_format::kJson) {
     out_ << json::serialize(value) << "\n";
@@ -155,7 +160,11 @@
     const std::string query =
         after.empty() ? "" : "?continue=" + api::EscapeSegment(after);
     const auto page = co_await Read(path + query);
-    if (!page || !page->is_object()) co_return std::nullopt;
+    if (!page) co_return std::nullopt;
+    if (!page->is_object()) {
+      ReportMalformedAnswer();
+      co_return std::nullopt;
+    }
     const json::value* const items = page->get_object().if_contains("items");
     if (items != nullptr && items->is_array()) {
       all.insert(all.end(), items->get_array().begin(),
@@ -282,7 +291,11 @@
 
 session::result session::Execute(top_verb) {
   const auto status = co_await Read("/v1/status");
-  if (!status || !status->is_object()) co_return failure_code_;
+  if (!status) co_return failure_code_;
+  if (!status->is_object()) {
+    ReportMalformedAnswer();
+    co_return failure_code_;
+  }
   if (command_.output == output_format::kJson) {
     PrintValue(*status);
     co_return exit_code::kOk;
--- a/src/ctl/session.h
+++ b/src/ctl/session.h
@@ -89,6 +89,8 @@
   exit_code PrintCallOutcome(const api::response& response,
                              const call_verb& call);
 
+  /// Reports an answer to a read that is not what the interface sends.
+  void ReportMalformedAnswer();
   /// Prints the reason of a failure and sets `failure_code_`.
   void ReportFailure(const api::response& response);
   void ReportFailure(const core::failure& failure, bool is_change);
--- a/src/ctl/session_test.cpp
+++ b/src/ctl/session_test.cpp
@@ -287,6 +287,51 @@
   EXPECT_EQ(Run({"top"}, kAdminToken).code, exit_code::kOk);
 }
 
+/// Answers each request with 200 and the same body.
+class fixed_answer : public api::handler {
+ public:
+  core::awaitable<api::reply> Handle(api::request) override {
+    api::response response;
+    response.body = body;
+    co_return response;
+  }
+  std::string body;
+};
+
+// Guards against a change that is not made and is reported as made, since the
+// answer to a read is not an object of the interface.
+TEST_F(SessionTest, AnAnswerWithoutAnObjectIsAFailure) {
+  boost::asio::io_context io(1);
+  core::system_clock clock(io.get_executor());
+  metrics::registry registry;
+  fixed_answer handler;
+  api::server server(io.get_executor(), clock, handler, registry, {});
+  const auto address = server.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(address);
+  const std::string file = Write("a.json", kPlanner);
+  for (const char* body : {"", "[]", "{}", R"({"spec":null})", "not JSON"}) {
+    handler.body = body;
+    for (const std::vector<std::string>& arguments :
+         {std::vector<std::string>{"apply", "-f", file},
+          {"diff", "-f", file},
+          {"apply", "-f", file, "--prune"},
+          {"get", "services"},
+          {"top"}}) {
+      std::thread serve([&] { io.run_for(std::chrono::seconds(5)); });
+      const run_result r = RunAt(*address, kKitchensToken, arguments);
+      io.stop();
+      serve.join();
+      io.restart();
+      const bool is_page =
+          std::string(body) == "{}" || std::string(body) == R"({"spec":null})";
+      const bool is_read = arguments[0] == "get" || arguments[0] == "top";
+      if (is_read && is_page) continue;
+      EXPECT_EQ(r.code, exit_code::kUnavailable) << arguments[0] << body;
+      EXPECT_NE(r.err, "") << arguments[0] << body;
+    }
+  }
+}
+
 // Guards against a watch that stops at the first lost connection.
 TEST_F(SessionTest, WatchReconnectsUntilNoEntryAnswers) {
   ASSERT_EQ(Run({"apply", "-f", Write("a.json", kPlanner)}).code,
