Count idle connections to workers as open

mangoplank_call_connections counted the connections in use only, so that a pool of idle ones showed as 0. Each connection now counts itself while it exists.

HttpTransportTest.CountsAndClosesIdleConnections failed before, with 0 for one idle connection.

--- a/src/calls/http_transport.cpp
+++ b/src/calls/http_transport.cpp
@@ -26,9 +26,17 @@
 /// Limit of the protocol for bodies, plus 16 KiB for headers.
 constexpr std::size_t kMaxAnswerBytes = cell::kMaxPayloadBytes + 16 * 1024;
 
+/// Counts itself among the open connections.
 struct connection {
-  explicit connection(const asio::any_io_executor& executor)
-      : stream(executor) {}
+  connection(const asio::any_io_executor& executor, metrics::gauge& counter)
+      : open_connections(counter), stream(executor) {
+    open_connections.Set(open_connections.Value() + 1);
+  }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+  ~connection() { open_connections.Set(open_connections.Value() - 1); }
+
+  metrics::gauge& open_connections;
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxAnswerBytes};
   core::time_point last_used{};
@@ -155,7 +163,6 @@
                      std::shared_ptr<pool> from_pool)
         : self(std::move(owner)), connection_pool(std::move(from_pool)) {
       ++connection_pool->in_use;
-      self->open_connections.Set(self->open_connections.Value() + 1);
     }
     connection_lease(const connection_lease&) = delete;
     connection_lease& operator=(const connection_lease&) = delete;
@@ -165,7 +172,6 @@
         connection_pool->idle.push_back(std::move(conn));
       }
       --connection_pool->in_use;
-      self->open_connections.Set(self->open_connections.Value() - 1);
       connection_pool->released.NotifyAll();
     }
     std::shared_ptr<impl> self;
@@ -263,7 +269,8 @@
   connection_lease held(self, worker_pool);
   held.conn = self->TakeIdle(*worker_pool);
   if (!held.conn) {
-    held.conn = std::make_unique<connection>(self->executor);
+    held.conn =
+        std::make_unique<connection>(self->executor, self->open_connections);
     const auto fault = co_await Connect(self, *held.conn, to, deadline);
     if (fault) co_return failed(*fault, false);
   }
--- a/src/calls/http_transport_test.cpp
+++ b/src/calls/http_transport_test.cpp
@@ -243,5 +243,32 @@
   EXPECT_EQ(reply2, worker_reply(worker_done{"2"}));
 }
 
+// Guards against idle connections that are not counted, or that stay open: each
+// of them takes a descriptor here and a connection of the worker.
+TEST_F(HttpTransportTest, CountsAndClosesIdleConnections) {
+  http_transport_settings settings;
+  settings.idle_timeout = 200ms;
+  http_transport transport(settings, io_.get_executor(), clock_, metrics_);
+  const auto count = [&] {
+    return metrics_.Gauge("mangoplank_call_connections", "").Value();
+  };
+  scripted_server server(io_, {{Answer("a", "1"), kNoResponse}});
+  worker_request request;
+  request.id = "a";
+  request.deadline = clock_.Now() + 2s;
+  worker_reply reply = worker_running{};
+  asio::co_spawn(io_, StoreReply(transport, server.Target(), request, reply),
+                 asio::detached);
+  io_.run_for(100ms);
+  EXPECT_EQ(reply, worker_reply(worker_done{"1"}));
+  EXPECT_EQ(count(), 1);
+  transport.CloseIdle();
+  EXPECT_EQ(count(), 1);
+  io_.restart();
+  io_.run_for(250ms);
+  transport.CloseIdle();
+  EXPECT_EQ(count(), 0);
+}
+
 }  // namespace
 }  // namespace mangoplank::calls
