Close idle connections of an entry to workers

http_transport::CloseIdle had no caller: idle connections were closed only when the first call to a new incarnation of some worker came. The entry now calls it every 5 s.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -117,6 +117,7 @@
     Spawn(ApplyFeed());
     Spawn(WatchFreshness());
     Spawn(ReportSlots());
+    Spawn(CloseIdleConnections());
     Spawn(DrainOnSignal());
     const auto listening = server_.Listen(values_.Endpoint("listen", "http"));
     if (!listening) {
@@ -179,6 +180,15 @@
     }
   }
 
+  /// Closes the idle connections to workers that get no more calls.
+  awaitable<void> CloseIdleConnections() {
+    constexpr core::milliseconds kInterval{5'000};
+    while (true) {
+      co_await core::SleepFor(clock_, kInterval);
+      transport_.CloseIdle();
+    }
+  }
+
   awaitable<void> DrainOnSignal() {
     co_await signals_.async_wait(asio::use_awaitable);
     spdlog::info("draining");
