Remove an event that no task waits for

entry_server notified feeds_changed when a feed or a session ended; the task of a feed waits for changes of the state, up to the next progress mark, and ends then. The behaviour is the same, so there is no new test; control_test passes.

--- a/src/control/entry_server.cpp
+++ b/src/control/entry_server.cpp
@@ -58,10 +58,8 @@
 
   /// State of one connection, shared by its tasks.
   struct session : leader::entry_sink {
-    session(asio::any_io_executor executor, core::clock& clock,
-            std::shared_ptr<entry_connection> opened)
-        : connection(std::move(opened)),
-          feeds_changed(std::move(executor), clock) {}
+    explicit session(std::shared_ptr<entry_connection> opened)
+        : connection(std::move(opened)) {}
     void Post(message outgoing) override {
       if (!ended) connection->Post(std::move(outgoing));
     }
@@ -69,10 +67,9 @@
     std::shared_ptr<entry_connection> connection;
     control::hello hello;
     bool ended = false;
+    /// A feed that is removed ends with its next change or progress mark.
     std::set<std::uint64_t> feeds;
     std::size_t requests_in_progress = 0;
-    /// Notified when a feed ends.
-    core::event feeds_changed;
   };
   using session_ptr = std::shared_ptr<session>;
 
@@ -204,7 +201,6 @@
                  },
                  [&](unsubscribe_request& subscription) {
                    entry->feeds.erase(subscription.feed);
-                   entry->feeds_changed.NotifyAll();
                  },
                  [&](heartbeat& beat) {
                    local_leader.OnEntryHeartbeat(entry->hello, beat.revision);
@@ -226,8 +222,7 @@
 awaitable<void> entry_server::Serve(
     std::shared_ptr<entry_connection> connection) {
   const auto i = impl_;
-  const auto entry = std::make_shared<impl::session>(i->executor, i->clock,
-                                                     std::move(connection));
+  const auto entry = std::make_shared<impl::session>(std::move(connection));
   const bool accepted = co_await i->ReceiveHello(entry);
   if (accepted && !i->stopped) {
     i->sessions.insert(entry);
@@ -243,7 +238,6 @@
     }
   }
   entry->ended = true;
-  entry->feeds_changed.NotifyAll();
   entry->connection->Close();
   i->sessions.erase(entry);
 }
