--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -303,7 +303,7 @@
   const auto it = monitors.find(key.id);
   ++load.heartbeats;
   if (it == monitors.end() || it->second->worker.key != key) return;
-  UpdateClock(*it->second, clock_ms);
+  UpdateClock(*it->second, clock_ms, reading_source::kReport);
 }
 
 /// Records events together with the jobs that have started since, and how long
@@ -433,5 +433,13 @@
                              std::int64_t clock_ms) {
   impl_->OnHeartbeat(key, clock_ms);
 }
+awaitable<bool> dispatcher::ConfirmIncarnation(workflow::worker_key worker) {
+  const auto self = impl_;
+  co_return co_await self->ConfirmIncarnation(std::move(worker));
+}
+awaitable<bool> dispatcher::RemoveUnconfirmed(workflow::worker_key worker) {
+  const auto self = impl_;
+  co_return co_await self->RemoveUnconfirmed(std::move(worker));
+}
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -8,6 +8,7 @@
 
 #include "dispatch/newest_report.h"
 #include "mangoplank/wire/codec.h"
+#include "mangoplank/workflow/limits.h"
 
 namespace mangoplank::dispatch {
 
@@ -20,12 +21,6 @@
 namespace {
 
 constexpr core::milliseconds kMembershipInterval{250};
-/// Bound the size of a job in the log and the time of a planning round.
-constexpr std::size_t kMaxTasksPerJob = 10'000;
-constexpr std::size_t kMaxStepsPerJob = 100;
-/// Largest amount of one resource of a worker, so that sums over a cell and
-/// products with the tasks of a job don't overflow.
-constexpr std::int64_t kMaxCapacity = 1'000'000'000'000;
 /// Time for which the newest report of a removed worker is kept: longer than
 /// reports are delayed.
 constexpr core::milliseconds kReportRetention{60'000};
@@ -40,20 +35,18 @@
 
 /// @return the failure of the first invalid field, or no value.
 std::optional<core::failure> FindInvalidField(const workflow::job_spec& spec) {
-  if (spec.id.empty() || spec.id.find('/') != std::string::npos) {
-    return Invalid("id", "must be one path segment");
+  if (!workflow::IsValidId(spec.id)) {
+    return Invalid("id", "must be one path segment of visible characters");
   }
-  if (spec.steps.empty() || spec.steps.size() > kMaxStepsPerJob) {
+  if (spec.steps.empty() || spec.steps.size() > workflow::kMaxStepsPerJob) {
     return Invalid("steps", "must be 1 to 100");
   }
-  std::size_t tasks = 0;
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     const workflow::step& step = spec.steps[i];
     const std::string step_field = "steps." + std::to_string(i);
     if (step.count == 0) {
       return Invalid(step_field + ".count", "must be at least 1");
     }
-    tasks += step.count;
     if (step.need.cpu_milli < 0 || step.need.memory_mib < 0 ||
         step.need.accelerators < 0) {
       return Invalid(step_field + ".need", "must not be negative");
@@ -64,9 +57,7 @@
       }
     }
   }
-  const std::size_t occurrences =
-      spec.repeat_count == 0 ? 1 : spec.repeat_count;
-  if (tasks * occurrences > kMaxTasksPerJob) {
+  if (!workflow::IsTaskCountValid(spec)) {
     return Invalid("steps", "must have at most 10,000 tasks in all");
   }
   return std::nullopt;
@@ -74,7 +65,8 @@
 
 /// @return whether the amounts can be those of a worker; zero is allowed.
 bool IsPossible(const core::resources& capacity) {
-  const core::resources largest{kMaxCapacity, kMaxCapacity, kMaxCapacity};
+  const core::resources largest{workflow::kMaxAmount, workflow::kMaxAmount,
+                                workflow::kMaxAmount};
   return capacity.Holds({}) && largest.Holds(capacity);
 }
 
@@ -100,6 +92,8 @@
   awaitable<answer_body> Answer(workflow::get_job request);
   awaitable<answer_body> Answer(workflow::cancel_job request);
   awaitable<answer_body> Answer(workflow::worker_heartbeat request);
+  awaitable<std::optional<answer_body>> CheckIncarnation(
+      workflow::worker_key reported);
   awaitable<answer_body> Answer(workflow::deregister_worker request);
   awaitable<answer_body> Answer(workflow::declare_catalog request);
   awaitable<answer_body> Answer(workflow::read_catalog request);
@@ -262,6 +256,35 @@
   return newest_reports[id];
 }
 
+/// Decides whether a report may register its incarnation. The later one holds
+/// the id, unless it is shown to be false: an earlier one still answers, or
+/// the later one has not answered for a lease while the earlier one reports.
+/// @return the answer to a report that registers nothing.
+awaitable<std::optional<answer_body>> service::impl::CheckIncarnation(
+    workflow::worker_key reported) {
+  const auto& known = machine.State().Workers();
+  const auto it = known.find(reported.id);
+  if (it == known.end() || it->second.key == reported) co_return std::nullopt;
+  const workflow::worker_key registered = it->second.key;
+  if (registered.incarnation > reported.incarnation) {
+    // Delayed, unless the registered incarnation is false.
+    const bool gives_way =
+        active_dispatcher != nullptr &&
+        co_await active_dispatcher->RemoveUnconfirmed(registered);
+    if (gives_way) {
+      FindNewestReport(reported.id).worker = {};
+      co_return std::nullopt;
+    }
+    co_return answer_body(workflow::accepted{});
+  }
+  const bool is_held =
+      active_dispatcher != nullptr &&
+      co_await active_dispatcher->ConfirmIncarnation(registered);
+  if (!is_held) co_return std::nullopt;
+  co_return answer_body(
+      Invalid("incarnation", "an earlier one answers under this id"));
+}
+
 awaitable<answer_body> service::impl::Answer(
     workflow::worker_heartbeat request) {
   if (!IsPossible(request.worker.capacity)) {
@@ -270,6 +293,8 @@
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
   const workflow::worker_key key = request.worker.key;
+  auto refused = co_await CheckIncarnation(key);
+  if (refused) co_return std::move(*refused);
   const auto& known = machine.State().Workers();
   const auto it = known.find(key.id);
   const workflow::worker* const registered =
@@ -278,6 +303,7 @@
   if (registered != nullptr) {
     newest.worker = Merge(std::move(newest.worker), *registered);
   }
+  // Also if it was registered while the report was checked.
   if (newest.worker.key.incarnation > key.incarnation) {
     co_return workflow::accepted{};
   }
@@ -315,8 +341,9 @@
   const auto& known = machine.State().Workers();
   const auto it = known.find(request.id);
   if (it == known.end()) co_return workflow::accepted{};
-  // Workers drain before they deregister. Without an incarnation, a request for
-  // a worker that is not draining is a delayed one of an earlier incarnation.
+  // Workers drain before they deregister. Without an incarnation, a request
+  // for a worker that is not draining is a delayed one of an earlier
+  // incarnation.
   const workflow::worker& worker = it->second;
   const bool is_other = request.incarnation == 0
                             ? !worker.draining
@@ -365,7 +392,8 @@
   co_return workflow::accepted{};
 }
 
-/// Adds members that have requested to join, and removes silent ones in excess.
+/// Adds members that have requested to join, and removes silent ones in
+/// excess.
 awaitable<void> service::impl::UpdateMembership() {
   const auto members = node.Status().members.members;
   const auto is_member = [&](const core::member_id& id) {
--- a/src/dispatch/service_fixture.h
+++ b/src/dispatch/service_fixture.h
@@ -93,6 +93,16 @@
   static workflow::request_body Get(const std::string& path) {
     return workflow::get_job{{"host", path}};
   }
+  workflow::answer_body Report(core::wall_time_ms incarnation) {
+    workflow::worker_heartbeat heartbeat;
+    heartbeat.worker.key = {{"w"}, incarnation};
+    return Handle(std::move(heartbeat));
+  }
+  core::wall_time_ms KnownIncarnation() const {
+    const auto& known = machine_.State().Workers();
+    const auto it = known.find({"w"});
+    return it == known.end() ? 0 : it->second.key.incarnation;
+  }
 
   const workflow::answer_body accepted_ = workflow::accepted{};
   consensus::fake_cluster cluster_;
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -169,5 +169,86 @@
   EXPECT_TRUE(machine_.State().Workers().empty());
 }
 
+// Guards against a job whose number of tasks overflows to a small one: applying
+// it ends every member, at every start.
+TEST_F(ServiceTest, RefusesJobsThatAreTooLarge) {
+  Declare(1, "/q/");
+  const auto submit = [&](std::size_t steps, std::uint32_t count,
+                          std::uint32_t repeat_count) {
+    workflow::submit_job request{{"host", "/q/1"}, {}};
+    request.spec.steps.resize(steps);
+    for (workflow::step& step : request.spec.steps) step.count = count;
+    request.spec.repeat_count = repeat_count;
+    return Handle(std::move(request));
+  };
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(16, 1u << 30, 1u << 30)));
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(1, 10'001, 0)));
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(101, 1, 0)));
+  EXPECT_TRUE(Fails<core::invalid_request>(submit(1, 0, 0)));
+  EXPECT_TRUE(machine_.State().Jobs().empty());
+  EXPECT_EQ(submit(100, 10, 10), accepted_);
+}
+
+// Guards against a job id that no order can carry: JSON can't encode it, so
+// that workers refuse each start and the task is started again without end.
+TEST_F(ServiceTest, RefusesJobIdsThatOrdersCannotCarry) {
+  Declare(1, "/q/");
+  for (const std::string& id :
+       {std::string("\xff"), std::string("a b"), std::string("a\0", 2),
+        std::string(257, 'x'), std::string(1'000'000, 'x')}) {
+    EXPECT_TRUE(Fails<core::invalid_request>(Handle(Submit("/q/" + id))))
+        << id.size();
+  }
+  EXPECT_TRUE(machine_.State().Jobs().empty());
+}
+
+// Guards against a report of another writer, with a later incarnation, that
+// shuts out a sound worker.
+TEST_F(ServiceTest, AWorkerThatAnswersKeepsItsId) {
+  workers_.named_incarnations[{"w"}] = 5;
+  EXPECT_EQ(Report(5), accepted_);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_TRUE(Fails<core::invalid_request>(Report(9'000'000'000'000)));
+    EXPECT_EQ(Report(5), accepted_);
+    EXPECT_EQ(KnownIncarnation(), 5);
+    cluster_.RunFor(seconds(1));
+  }
+  // The worker restarts.
+  workers_.named_incarnations[{"w"}] = 6;
+  EXPECT_EQ(Report(6), accepted_);
+  EXPECT_EQ(KnownIncarnation(), 6);
+}
+
+// Guards against a false report that came while the sound worker was silent,
+// and that is repeated: the worker must get its place back.
+TEST_F(ServiceTest, AnIncarnationThatNeverAnswersGivesWay) {
+  workers_.named_incarnations[{"w"}] = 5;
+  EXPECT_EQ(Report(5), accepted_);
+  workers_.silent.insert({"w"});
+  EXPECT_EQ(Report(9'000'000'000'000), accepted_);
+  EXPECT_EQ(KnownIncarnation(), 9'000'000'000'000);
+  workers_.silent.clear();
+  for (int i = 0; i < 10; ++i) {
+    Report(9'000'000'000'000);
+    EXPECT_EQ(Report(5), accepted_);
+    cluster_.RunFor(seconds(1));
+  }
+  EXPECT_EQ(KnownIncarnation(), 5);
+}
+
+// Guards against a worker that is removed since an earlier incarnation's report
+// is delayed: its tasks would start elsewhere under its lease.
+TEST_F(ServiceTest, ADelayedReportRemovesNoWorkerUnderItsLease) {
+  workers_.named_incarnations[{"w"}] = 6;
+  EXPECT_EQ(Report(6), accepted_);
+  workers_.silent.insert({"w"});
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(Report(5), accepted_);
+    EXPECT_EQ(Report(6), accepted_);
+    EXPECT_EQ(KnownIncarnation(), 6);
+    cluster_.RunFor(seconds(1));
+  }
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
