Count all losses of its workers against a task, and end it after four

Cause: two losses at a start with one starting step were taken as proof. An order to a worker that had crashed unnoticed looks the same, and the second try preferred idle workers, whose loss is noticed late. And if anything else was starting on the worker, a task at work there was not counted at all; a long-running one began again from zero.

Change: each run that was ordered on a lost worker counts, unless it had been at work for 30 s; four crashes, or five losses of which some are only silent, end the job. The start alone after a loss at the start stays, as it keeps sound tasks from being hit again, and heeds where the data is and what others have reserved. The stops of an ended job are collected before the first is sent, as one that is answered at once removes its run.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -82,9 +82,11 @@
   std::uint32_t last_run = 0;
   /// Number of runs that ended as failed.
   std::uint32_t failures = 0;
-  /// Number of workers that were lost under runs of the task. Recorded before
-  /// the next start, so that every leader knows it.
+  /// Number of workers that crashed under runs of the task, and of these and
+  /// the unreachable ones together. Recorded before the next start, so that
+  /// every leader knows them.
   std::uint32_t crashes = 0;
+  std::uint32_t losses = 0;
   /// The last run was lost at its start and may have crashed its worker.
   bool suspected = false;
   /// Worker of the assigned run.
--- a/include/mangoplank/workflow/types.h
+++ b/include/mangoplank/workflow/types.h
@@ -180,12 +180,15 @@
   kGangIncomplete,
   /// The worker has not started the run and never will.
   kNotStarted,
-  /// The worker was lost after the run had survived its start.
+  /// The worker was lost long after the start, so that the run is not the
+  /// likely cause.
   kLost,
-  /// The worker was lost, or did not answer any more, while this and other runs
-  /// were starting on it.
-  kLostAtStart,
-  /// The worker crashed while only runs of this step were starting on it.
+  /// The worker did not answer until its lease had ended: it may have crashed,
+  /// or be cut off.
+  kUnreachable,
+  /// The worker crashed while the run was at work.
+  kCrashed,
+  /// The worker crashed while the run was starting.
   kCrashedAtStart,
 };
 inline constexpr std::size_t kRunEndCount =
@@ -217,9 +220,9 @@
 /// @return the name used in logs and metrics.
 constexpr std::string_view Name(run_end ending) {
   constexpr std::string_view kNames[kRunEndCount] = {
-      "done",          "failed",          "stopped",     "lapsed",
-      "broken",        "alone",           "not_started", "worker_lost",
-      "lost_at_start", "crashed_at_start"};
+      "done",        "failed",  "stopped",         "lapsed",
+      "broken",      "alone",   "not_started",     "worker_lost",
+      "unreachable", "crashed", "crashed_at_start"};
   return kNames[static_cast<std::size_t>(ending)];
 }
 constexpr std::string_view Name(job_phase phase) {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -95,17 +95,16 @@
         const auto monitor = monitors.find(task.worker.id);
         const workflow::run_id run{id, task.last_run};
         if (monitor != monitors.end()) {
-          // Whether the run was starting when its worker's incarnation ended
-          // is not known.
+          // The worker's incarnation has ended under the run.
           const bool has_ended = monitor->second->worker.key != task.worker;
           monitor->second->runs.Add(
               run, {.need = NeedOf(step),
                     .tracked_since = clock.Now(),
                     .ordered = true,
                     .resolved_after_poll = 0,
-                    .loss = has_ended
-                                ? std::optional(workflow::run_end::kLostAtStart)
-                                : std::nullopt,
+                    .loss = has_ended ? std::optional(
+                                            workflow::run_end::kCrashedAtStart)
+                                      : std::nullopt,
                     .priority = event_log.State().QueueOf(job).priority,
                     .resumable = step.checkpointing});
           run_monitors[run] = monitor->second;
@@ -242,7 +241,7 @@
   }
   // If a member that has started ends, the workers end the rest of the gang.
   const bool never_started = event.ending == workflow::run_end::kNotStarted ||
-                             event.ending == workflow::run_end::kLostAtStart ||
+                             event.ending == workflow::run_end::kUnreachable ||
                              event.ending == workflow::run_end::kCrashedAtStart;
   if (step.gang && never_started) {
     StopGang(event.run, step.count);
@@ -292,10 +291,14 @@
   std::erase_if(failed_workers, [&](const auto& entry) {
     return entry.first.job == job.spec.id;
   });
+  // A stop that is answered at once removes its run.
+  std::vector<std::pair<workflow::run_id, std::shared_ptr<worker_monitor>>>
+      runs;
   for (auto it = run_monitors.lower_bound({{job.spec.id, 0, 0, 0}, 0});
        it != run_monitors.end() && it->first.task.job == job.spec.id; ++it) {
-    Spawn(StopRun(it->second, it->first));
+    runs.emplace_back(*it);
   }
+  for (const auto& [run, monitor] : runs) Spawn(StopRun(monitor, run));
 }
 
 void dispatcher::impl::OnHeartbeat(const workflow::worker_key& key,
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -15,6 +15,9 @@
 
 namespace mangoplank::dispatch {
 
+/// A worker that answers this long after the start of a run has survived it.
+inline constexpr core::milliseconds kStartTime{300};
+
 /// How the leader learned that an incarnation of a worker is lost.
 enum class worker_loss : std::uint8_t {
   /// A later incarnation of the worker has reported.
@@ -132,7 +135,8 @@
   core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
                                      worker_loss loss, std::string reason);
   bool HasSurvivedStart(const worker_monitor& monitor,
-                        const tracked_run& tracked) const;
+                        const tracked_run& tracked,
+                        core::milliseconds time) const;
   void OnWorkerLost(worker_monitor& monitor, worker_loss loss);
   core::awaitable<void> PollAfterStart(std::shared_ptr<worker_monitor> monitor);
   std::shared_ptr<worker_monitor> FindMonitor(
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -71,6 +71,8 @@
   std::set<core::worker_id> silent;
   /// Workers that have ended and at whose address another one answers.
   std::set<core::worker_id> replaced;
+  /// Number of crashes and cuts; a poll that waits then gets no answer.
+  std::map<core::worker_id, int> interruptions;
   core::fake_clock& clock;
   double clock_rate = 1;
 
@@ -125,6 +127,7 @@
     const auto named = named_incarnations.find(to.key.id);
     const bool is_named = named != named_incarnations.end();
     if (is_named && named->second != to.key.incarnation) co_return no_answer{};
+    const int interruptions_before = interruptions[to.key.id];
     worker_state& state = states[to.key.id];
     state.term = std::max(state.term, order.term);
     state.acknowledged_ends = order.recorded_ends;
@@ -135,6 +138,8 @@
     const core::time_point until = clock.Now() + order.wait;
     while (state.ended.empty() && clock.Now() < until) {
       co_await core::SleepFor(clock, core::milliseconds(20));
+      if (interruptions[to.key.id] != interruptions_before)
+        co_return no_answer{};
     }
     worker_report report;
     report.clock_ms = ClockMs();
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -308,7 +308,7 @@
 bool dispatcher::impl::HasStartingRuns(const worker_monitor& monitor) const {
   const auto& runs = monitor.runs.Runs();
   return std::any_of(runs.begin(), runs.end(), [&](const auto& entry) {
-    return !HasSurvivedStart(monitor, entry.second);
+    return !HasSurvivedStart(monitor, entry.second, kStartTime);
   });
 }
 
@@ -317,15 +317,21 @@
   if (!monitor.suspected_run) return false;
   const tracked_run* const tracked = monitor.runs.Find(*monitor.suspected_run);
   const bool is_starting =
-      tracked != nullptr && !HasSurvivedStart(monitor, *tracked);
+      tracked != nullptr && !HasSurvivedStart(monitor, *tracked, kStartTime);
   if (!is_starting) monitor.suspected_run.reset();
   return is_starting;
 }
 
-/// @return the fitting worker with the most available CPU, and so the least to
-/// lose, among those on which nothing else is starting; or null.
+/// @return the best option for a task that may crash its worker, or null: the
+/// worker with the most available CPU, and so the least to lose, among those on
+/// which nothing else is starting.
 placement_option* dispatcher::impl::ChooseIsolatedOption(
     std::vector<placement_option>& options, const core::resources& need) const {
+  const auto preference = [&](const placement_option& option) {
+    return std::tuple(option.is_near_data,
+                      Unreserved(*option.worker).Holds(need),
+                      option.worker->available.cpu_milli);
+  };
   placement_option* best = nullptr;
   for (placement_option& option : options) {
     const usable_worker& worker = *option.worker;
@@ -334,8 +340,7 @@
       continue;
     }
     const bool better =
-        best == nullptr ||
-        worker.available.cpu_milli > best->worker->available.cpu_milli;
+        best == nullptr || preference(option) > preference(*best);
     if (better) best = &option;
   }
   return best;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -33,8 +33,8 @@
 constexpr core::milliseconds kAvoidanceTime{1'500};
 /// Allowed difference of two readings of one clock in addition to its drift.
 constexpr core::milliseconds kClockSlack{2'000};
-/// A worker that answers this long after the start of a run has survived it.
-constexpr core::milliseconds kStartTime{300};
+/// A run that is at work for this long does not crash its worker.
+constexpr core::milliseconds kProvenTime{30'000};
 /// Maximum number of ends in one report; a full list may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -446,45 +446,40 @@
   }
 }
 
-/// @return whether the worker was heard of after the run had started on it.
+/// @return whether the worker was heard of that long after the run had started.
 bool dispatcher::impl::HasSurvivedStart(const worker_monitor& monitor,
-                                        const tracked_run& tracked) const {
-  return tracked.started_at &&
-         monitor.last_heard >= *tracked.started_at + kStartTime;
+                                        const tracked_run& tracked,
+                                        core::milliseconds time) const {
+  return tracked.started_at && monitor.last_heard >= *tracked.started_at + time;
 }
 
-/// Attributes the loss of a worker that was not draining to the runs that were
-/// starting on it, or, if there were none, to all of its runs.
+/// Attributes the loss of a worker that was not draining to the runs that it
+/// had, unless they had been at work for long. An order may also have reached a
+/// worker that had crashed before.
 void dispatcher::impl::OnWorkerLost(worker_monitor& monitor, worker_loss loss) {
   if (monitor.worker.draining) return;
   stats.LostWorkers(Name(loss)).Add();
-  std::set<step_key> starting_steps;
-  std::vector<workflow::run_id> starting;
+  std::size_t starting = 0;
+  std::string first;
   for (const auto& [run, tracked] : monitor.runs.Runs()) {
-    if (!tracked.ordered || HasSurvivedStart(monitor, tracked)) continue;
-    starting.push_back(run);
-    starting_steps.insert({run.task.job, run.task.occurrence, run.task.step});
-  }
-  // A silent worker may only be cut off.
-  const bool is_certain =
-      loss != worker_loss::kSilent && starting_steps.size() == 1;
-  for (const workflow::run_id& run : starting) {
-    monitor.runs.Find(run)->loss = is_certain
-                                       ? workflow::run_end::kCrashedAtStart
-                                       : workflow::run_end::kLostAtStart;
-  }
-  if (starting.empty()) {
-    for (const auto& [run, tracked] : monitor.runs.Runs()) {
-      if (!tracked.ordered) continue;
-      monitor.runs.Find(run)->loss = workflow::run_end::kLost;
+    if (!tracked.ordered) continue;
+    const bool survived = HasSurvivedStart(monitor, tracked, kStartTime);
+    if (!survived && starting++ == 0) first = Name(run);
+    auto ending = workflow::run_end::kCrashedAtStart;
+    if (HasSurvivedStart(monitor, tracked, kProvenTime)) {
+      ending = workflow::run_end::kLost;
+    } else if (loss == worker_loss::kSilent) {
+      ending = workflow::run_end::kUnreachable;
+    } else if (survived) {
+      ending = workflow::run_end::kCrashed;
     }
+    monitor.runs.Find(run)->loss = ending;
   }
   spdlog::warn(
       "worker_lost worker={} born={} evidence={} runs={} starting={} "
       "first_starting={}",
       monitor.worker.key.id.v, monitor.worker.key.incarnation, Name(loss),
-      monitor.runs.Size(), starting.size(),
-      starting.empty() ? "" : Name(starting.front()));
+      monitor.runs.Size(), starting, first);
 }
 
 /// Polls soon after a start that may crash the worker, so that other tasks need
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -332,6 +332,7 @@
   Read(reader.getWhere(), value.worker, budget);
   value.checkpoint = String(reader.getCheckpoint());
   value.crashes = reader.getCrashes();
+  value.losses = reader.getLosses();
   value.suspected = reader.getSuspected();
 }
 
@@ -352,6 +353,7 @@
     Write(t.worker, to.initWhere());
     to.setCheckpoint(Text(t.checkpoint));
     to.setCrashes(t.crashes);
+    to.setLosses(t.losses);
     to.setSuspected(t.suspected);
   }
   SetAll(builder.initLeft(value.unfinished_tasks.size()),
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -125,6 +125,7 @@
   checkpoint @4 :Text;
   crashes @5 :UInt32;
   suspected @6 :Bool;
+  losses @7 :UInt32;
 }
 
 struct WorkflowJob {
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -288,7 +288,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a73b46d9570aa69e, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a73b46d9570aa69e, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2161,6 +2161,8 @@
 
   inline bool getSuspected() const;
 
+  inline  ::uint32_t getLosses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2218,6 +2220,9 @@
   inline bool getSuspected();
   inline void setSuspected(bool value);
 
+  inline  ::uint32_t getLosses();
+  inline void setLosses( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5917,6 +5922,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t WorkflowTask::Reader::getLosses() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkflowTask::Builder::getLosses() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowTask::Builder::setLosses( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkflowJob::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -24,21 +24,22 @@
   return std::tie(queue.host, queue.path_prefix);
 }
 
-/// A second crash at the start of a task ends its job if no other task was
-/// starting there: each further start would crash one worker more.
-constexpr std::uint32_t kMaxCrashesAlone = 2;
-/// Workers that are lost for reasons of their own, or are only cut off, may
-/// have the same task several times by chance.
+/// Sound tasks are hit too, by crashes for other reasons and by orders to
+/// workers that have crashed already, so that two crashes don't show a cause.
 constexpr std::uint32_t kMaxCrashes = 4;
+/// Workers that are cut off end no task, but some never return after a crash.
+constexpr std::uint32_t kMaxLosses = 5;
 
-/// @return whether the run was lost with its worker at its start.
-bool IsLostAtStart(run_end ending) {
-  return ending == run_end::kLostAtStart || ending == run_end::kCrashedAtStart;
+/// @return whether the task may have caused the loss of its worker.
+bool IsSuspicious(run_end ending) {
+  return ending == run_end::kUnreachable || ending == run_end::kCrashed ||
+         ending == run_end::kCrashedAtStart;
 }
 
 /// @return whether a run with this end is known to have started.
 bool HadStarted(run_end ending) {
-  return ending != run_end::kNotStarted && !IsLostAtStart(ending);
+  return ending != run_end::kNotStarted && ending != run_end::kUnreachable &&
+         ending != run_end::kCrashedAtStart;
 }
 
 void Fail(job& job, job_failure failure) {
@@ -49,17 +50,13 @@
 
 /// Counts a run that was lost with its worker, and gives the job up if the task
 /// is likely to crash each worker that starts it.
-void CountCrash(job& job, task& task, bool long_running, run_end ending) {
-  task.suspected = IsLostAtStart(ending);
-  // Services run for weeks, in which workers are lost for other reasons.
-  if (long_running && !task.suspected) {
-    task.crashes = 0;
-    return;
+void CountLoss(job& job, task& task, run_end ending) {
+  task.suspected = ending != run_end::kCrashed;
+  ++task.losses;
+  if (ending != run_end::kUnreachable) ++task.crashes;
+  if (task.crashes >= kMaxCrashes || task.losses >= kMaxLosses) {
+    Fail(job, job_failure::kWorkerCrashes);
   }
-  ++task.crashes;
-  const std::uint32_t limit =
-      ending == run_end::kCrashedAtStart ? kMaxCrashesAlone : kMaxCrashes;
-  if (task.crashes >= limit) Fail(job, job_failure::kWorkerCrashes);
 }
 
 bool HasAssignedRun(const job& job) {
@@ -195,14 +192,13 @@
   task.worker = {};
   task.phase = task_phase::kWaiting;
   if (!event.checkpoint.empty()) task.checkpoint = event.checkpoint;
-  if (event.ending == run_end::kLost || IsLostAtStart(event.ending)) {
-    return CountCrash(job, task, step.long_running, event.ending);
-  }
-  if (HadStarted(event.ending)) task.suspected = false;
-  if (step.long_running) {
-    if (HadStarted(event.ending)) task.crashes = 0;
-    return;
+  if (IsSuspicious(event.ending)) return CountLoss(job, task, event.ending);
+  if (HadStarted(event.ending)) {
+    task.suspected = false;
+    // Services run for weeks, in which workers crash for other reasons.
+    if (step.long_running) task.crashes = task.losses = 0;
   }
+  if (step.long_running) return;
   if (event.ending == run_end::kDone) {
     if (!step.gang) return FinishTask(job, event.run.task);
     // The tasks of a gang succeed together: the first end finishes all of them.
