--- a/src/consensus/store.cpp
+++ b/src/consensus/store.cpp
@@ -282,6 +282,7 @@
   const auto files = WithPrefix(names, kSegmentPrefix);
   if (files.empty()) return FailWith(kind::kCorrupt, kSegmentPrefix, "no log");
   segments_.clear();
+  must_reset_ = false;
   segment_scan progress{out, NumberOf(files.front()), 0, 0};
   for (const std::string& name : files) {
     const std::uint64_t number = NumberOf(name);
@@ -320,6 +321,9 @@
                       SnapshotName(entries.front()->revision - 1),
                       "the log starts after the last snapshot");
     }
+    // A write of the snapshot that ended before its segment started leaves
+    // entries that the next ones don't follow.
+    must_reset_ = snapshot_entry == entries.end() && !entries.empty();
     entries.erase(entries.begin(), snapshot_entry == entries.end()
                                        ? snapshot_entry
                                        : snapshot_entry + 1);
@@ -426,9 +430,9 @@
     segments_.push_back({segments_.back().number + 1, 0});
     PutSegmentStart(writer, segments_.back().number,
                     batch.new_snapshot->revision);
-    if (batch.discard_log) {
-      writer.U8(static_cast<std::uint8_t>(record_type::kReset));
-    }
+  }
+  if (batch.discard_log || must_reset_) {
+    writer.U8(static_cast<std::uint8_t>(record_type::kReset));
   }
   if (batch.hard_state || batch.new_snapshot) PutHardState(writer, hard_state_);
   segment& current = segments_.back();
@@ -439,6 +443,7 @@
   const std::string name = SegmentName(current.number);
   BOOST_LEAF_CHECK(files_.Append(name, Frame(writer.Out())));
   BOOST_LEAF_CHECK(files_.Sync(name));
+  must_reset_ = false;
   if (!batch.new_snapshot) return {};
   return RemoveObsoleteFiles(batch.new_snapshot->revision, batch.discard_log);
 }
--- a/src/consensus/store.h
+++ b/src/consensus/store.h
@@ -106,6 +106,8 @@
   std::vector<segment> segments_;
   std::vector<core::revision> snapshot_revisions_;
   hard_state hard_state_;
+  /// The next frame discards stored entries that the last snapshot replaced.
+  bool must_reset_ = false;
 };
 
 }  // namespace mangoplank::consensus
--- a/src/consensus/store_test.cpp
+++ b/src/consensus/store_test.cpp
@@ -216,6 +216,41 @@
   }
 }
 
+// Guards against a folder that can't be opened, or that lacks written entries,
+// after a write of a received snapshot ended between two of its steps. The next
+// entries then followed stored ones that the snapshot had replaced.
+TEST(StoreTest, WritesAfterACrashAtEachStepOfAReceivedSnapshot) {
+  // The stored log ends before the snapshot, or has another entry at it.
+  for (const core::revision revision : {9, 3}) {
+    for (std::uint64_t calls = 0; calls < 8; ++calls) {
+      fake_disk d;
+      Fill(d);
+      auto reopened = Reopen(d);
+      write_batch received;
+      received.new_snapshot = SnapshotAt(revision);
+      received.new_snapshot->term = 2;
+      received.discard_log = true;
+      d.calls_left = calls;
+      (void)core::Capture([&] { return reopened.store->Write(received); });
+      std::mt19937_64 random(calls);
+      const auto after = d.AfterCrash(random);
+      reopened = Reopen(*after);
+      ASSERT_TRUE(reopened.content);
+      if (reopened.content->last_snapshot.revision != revision) continue;
+      EXPECT_TRUE(reopened.content->entries.empty());
+      write_batch next;
+      next.entries.push_back(Entry(revision + 1, 2, "next"));
+      Write(*reopened.store, next);
+      reopened = Reopen(*after);
+      ASSERT_TRUE(reopened.content)
+          << revision << " " << calls << " "
+          << core::Describe(reopened.content.error());
+      ASSERT_EQ(reopened.content->entries.size(), 1u) << calls;
+      EXPECT_EQ(*reopened.content->entries[0], *next.entries[0]);
+    }
+  }
+}
+
 // Guards against a real file system that behaves differently from the fake.
 TEST(LocalDiskTest, KeepsFiles) {
   char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
