Remove the temporary file of a failed or interrupted replacement

Replace now removes its file when it fails, and a store removes one that a crash left when it opens. A disk that refuses the removal does not stop the start.

The fake disk has a capacity, writes the part that fits, and keeps the temporary file of a replacement that fails.

--- a/include/mangoplank/consensus/interfaces.h
+++ b/include/mangoplank/consensus/interfaces.h
@@ -66,9 +66,13 @@
                                     std::string_view data) = 0;
   /// Makes the content of a file and its folder entry durable.
   virtual core::result<void> Sync(const std::string& name) = 0;
-  /// Replaces a file through a temporary file; durable on return.
+  /// Replaces a file through a temporary file; durable on return. A call that
+  /// fails leaves no temporary file if it can be removed.
   virtual core::result<void> Replace(const std::string& name,
                                      std::string_view data) = 0;
+  /// Removes the temporary file of a Replace that a crash interrupted, if that
+  /// is possible.
+  virtual void RemoveTemporaryFile() = 0;
   virtual core::result<void> Truncate(const std::string& name,
                                       std::uint64_t size) = 0;
   /// Removes a file; durable on return.
--- a/include/mangoplank/consensus/local_disk.h
+++ b/include/mangoplank/consensus/local_disk.h
@@ -25,6 +25,7 @@
   core::result<void> Sync(const std::string& name) override;
   core::result<void> Replace(const std::string& name,
                              std::string_view data) override;
+  void RemoveTemporaryFile() override;
   core::result<void> Truncate(const std::string& name,
                               std::uint64_t size) override;
   core::result<void> Remove(const std::string& name) override;
@@ -35,6 +36,7 @@
   std::string Path(const std::string& name) const;
   core::result<void> CreateFolder();
   core::result<void> SyncFolder();
+  core::result<void> WriteTemporaryFile(std::string_view data);
   core::result<void> OpenForAppend(const std::string& name);
 
   std::string folder_;
--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -23,6 +23,8 @@
 /// Files in memory. A crash keeps a part of the unsynced data.
 class fake_disk : public disk {
  public:
+  static constexpr char kTemporaryName[] = "replacement.tmp";
+
   struct file {
     std::string data;
     std::size_t synced = 0;
@@ -34,6 +36,21 @@
   /// If set, Sync and Append fail with it.
   std::optional<core::storage_failed> sync_failure;
   std::optional<core::storage_failed> append_failure;
+  /// Bytes that the files may hold together. A call that needs more writes what
+  /// has room and fails.
+  std::size_t capacity = SIZE_MAX;
+  /// Refuses to truncate, remove and rename as well while it is full.
+  bool is_read_only_when_full = false;
+  /// Calls that failed for lack of room.
+  std::size_t refused_calls = 0;
+
+  std::size_t UsedBytes() const {
+    std::size_t used = 0;
+    for (const auto& [name, f] : files) used += f.data.size();
+    return used;
+  }
+  /// Leaves room for `bytes` more.
+  void LimitRoom(std::size_t bytes) { capacity = UsedBytes() + bytes; }
 
   core::result<std::vector<std::string>> List() override {
     std::vector<std::string> names;
@@ -49,8 +66,7 @@
                             std::string_view data) override {
     if (append_failure) return core::Fail(*append_failure);
     if (!ConsumeCall()) return Failure();
-    files[name].data += data;
-    return {};
+    return AppendWhatFits(name, data);
   }
   core::result<void> Sync(const std::string& name) override {
     if (sync_failure) return core::Fail(*sync_failure);
@@ -61,19 +77,27 @@
   }
   core::result<void> Replace(const std::string& name,
                              std::string_view data) override {
+    // A process that ends here leaves the temporary file.
+    files.erase(kTemporaryName);
+    BOOST_LEAF_CHECK(AppendWhatFits(kTemporaryName, data));
     if (!ConsumeCall()) return Failure();
+    files.erase(kTemporaryName);
     files[name] = file{std::string(data), data.size(), true};
     return {};
   }
+  void RemoveTemporaryFile() override { files.erase(kTemporaryName); }
   core::result<void> Truncate(const std::string& name,
                               std::uint64_t size) override {
     if (!ConsumeCall()) return Failure();
+    if (IsReadOnly()) return Full(name);
     files[name].data.resize(size);
     files[name].synced = std::min<std::size_t>(files[name].synced, size);
     return {};
   }
   core::result<void> Remove(const std::string& name) override {
-    if (!ConsumeCall() || files.erase(name) == 0) return Failure();
+    if (!ConsumeCall()) return Failure();
+    if (IsReadOnly()) return Full(name);
+    if (files.erase(name) == 0) return Failure();
     return {};
   }
 
@@ -97,6 +121,22 @@
   }
 
  private:
+  core::result<void> AppendWhatFits(const std::string& name,
+                                    std::string_view data) {
+    const std::size_t used = UsedBytes();
+    const std::size_t room = capacity > used ? capacity - used : 0;
+    files[name].data += data.substr(0, room);
+    if (data.size() > room) return Full(name);
+    return {};
+  }
+  bool IsReadOnly() const {
+    return is_read_only_when_full && capacity != SIZE_MAX;
+  }
+  boost::leaf::error_id Full(const std::string& name) {
+    ++refused_calls;
+    return core::Fail(core::storage_failed{core::storage_failed::kind::kFull,
+                                           name, "injected"});
+  }
   bool ConsumeCall() { return calls_left > 0 && calls_left-- > 0; }
   static boost::leaf::error_id Failure() {
     return core::Fail(core::storage_failed{});
--- a/src/consensus/local_disk.cpp
+++ b/src/consensus/local_disk.cpp
@@ -167,22 +167,35 @@
   return SyncFolder();
 }
 
+core::result<void> local_disk::WriteTemporaryFile(std::string_view data) {
+  descriptor d(Path(kTemporaryName), O_WRONLY | O_CREAT | O_TRUNC);
+  BOOST_LEAF_CHECK(d.Check());
+  BOOST_LEAF_CHECK(d.Write(data));
+  return d.SyncAll();
+}
+
 core::result<void> local_disk::Replace(const std::string& name,
                                        std::string_view data) {
   BOOST_LEAF_CHECK(CreateFolder());
-  {
-    descriptor d(Path(kTemporaryName), O_WRONLY | O_CREAT | O_TRUNC);
-    BOOST_LEAF_CHECK(d.Check());
-    BOOST_LEAF_CHECK(d.Write(data));
-    BOOST_LEAF_CHECK(d.SyncAll());
-  }
   const std::string from = Path(kTemporaryName);
+  auto written = WriteTemporaryFile(data);
+  if (!written) {
+    // On a full disk it holds the room that the next small write needs.
+    RemoveTemporaryFile();
+    return written.error();
+  }
   if (::rename(from.c_str(), Path(name).c_str()) != 0) {
-    return Fail(kind::kIo, Path(name), errno);
+    const auto failed = Fail(kind::kIo, Path(name), errno);
+    RemoveTemporaryFile();
+    return failed;
   }
   return SyncFolder();
 }
 
+void local_disk::RemoveTemporaryFile() {
+  ::unlink(Path(kTemporaryName).c_str());
+}
+
 core::result<void> local_disk::Truncate(const std::string& name,
                                         std::uint64_t size) {
   descriptor d(Path(name), O_WRONLY);
--- a/src/consensus/store.cpp
+++ b/src/consensus/store.cpp
@@ -239,6 +239,7 @@
   }
   recovered_state out;
   BOOST_LEAF_ASSIGN(out.disk_id, ReadHeader());
+  files_.RemoveTemporaryFile();
   BOOST_LEAF_AUTO(names, files_.List());
   BOOST_LEAF_CHECK(ReadSnapshots(names, out));
   BOOST_LEAF_CHECK(ReadSegments(names, out));
--- a/src/consensus/store_test.cpp
+++ b/src/consensus/store_test.cpp
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
+#include <csignal>
 #include <filesystem>
+#include <fstream>
 
 #include "consensus/fake_cluster.h"
 #include "mangoplank/consensus/local_disk.h"
@@ -251,6 +254,29 @@
   }
 }
 
+// Guards against a member that never writes again because the temporary file of
+// its own snapshot holds the last room of its disk.
+TEST(StoreTest, InterruptedReplaceLeavesRoomAfterARestart) {
+  fake_disk d;
+  Fill(d);
+  auto reopened = Reopen(d);
+  write_batch too_large;
+  too_large.new_snapshot = SnapshotAt(3);
+  too_large.new_snapshot->data =
+      std::make_shared<const std::string>(5000, 's');
+  d.LimitRoom(2000);
+  const auto written =
+      core::Capture([&] { return reopened.store->Write(too_large); });
+  ASSERT_FALSE(written);
+  EXPECT_EQ(std::get<core::storage_failed>(written.error()).k, kind::kFull);
+  ASSERT_EQ(d.UsedBytes(), d.capacity);
+  reopened = Reopen(d);
+  ASSERT_TRUE(reopened.content);
+  write_batch vote;
+  vote.hard_state = hard_state{2, {"b"}};
+  Write(*reopened.store, vote);
+}
+
 // Guards against a real file system that behaves differently from the fake.
 TEST(LocalDiskTest, KeepsFiles) {
   char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
@@ -275,6 +301,34 @@
   std::filesystem::remove_all(pattern);
 }
 
+// Guards against a failed replacement, or one that a crash interrupted, whose
+// temporary file takes room for ever. The size limit of a file stands for a full
+// disk, which needs privileges.
+TEST(LocalDiskTest, LeavesNoTemporaryFile) {
+  char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
+  ASSERT_NE(::mkdtemp(pattern), nullptr);
+  local_disk d(pattern);
+  Fill(d);
+  const std::size_t count = d.List()->size();
+  const std::string temporary = std::string(pattern) + "/replacement.tmp";
+  std::ofstream(temporary) << "partial";
+  ASSERT_TRUE(Reopen(d).content);
+  EXPECT_EQ(d.List()->size(), count);
+
+  rlimit old_limit{};
+  ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &old_limit), 0);
+  const auto old_handler = std::signal(SIGXFSZ, SIG_IGN);
+  const rlimit limit{10'000, old_limit.rlim_max};
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &limit), 0);
+  const auto replaced = core::Capture(
+      [&] { return d.Replace("large", std::string(20'000, 'x')); });
+  ::setrlimit(RLIMIT_FSIZE, &old_limit);
+  std::signal(SIGXFSZ, old_handler);
+  EXPECT_FALSE(replaced);
+  EXPECT_EQ(d.List()->size(), count);
+  std::filesystem::remove_all(pattern);
+}
+
 // Guards against a full disk that is reported as an I/O error. Each write to
 // /dev/full fails with ENOSPC.
 TEST(LocalDiskTest, ReportsAFullDisk) {
