Make the last frame of the log durable when a member starts

A process that was killed, or ended by a failed sync, leaves a frame that is written but not synced. The next start read it from the system's cache and took it for durable: it acknowledged its entries, and granted the vote in it again, without a sync. A power loss then lost them. A sync after a failed one is not enough, as the system takes the pages to be written. Open now writes the last frame again in place, with the same bytes, and syncs file and folder; only this frame can be unsynced, and a torn rewrite changes nothing.

The fake disk keeps what a failed sync has left, and members of the fake cluster can end as a killed process does, with unsynced files kept.

--- a/include/mangoplank/consensus/interfaces.h
+++ b/include/mangoplank/consensus/interfaces.h
@@ -64,6 +64,11 @@
   /// Appends to a file, creating it if missing. Not durable before Sync.
   virtual core::result<void> Append(const std::string& name,
                                     std::string_view data) = 0;
+  /// Writes bytes again that a file has, so that a later Sync proves them
+  /// durable even if an earlier one failed.
+  virtual core::result<void> Overwrite(const std::string& name,
+                                       std::uint64_t from,
+                                       std::string_view data) = 0;
   /// Makes the content of a file and its folder entry durable.
   virtual core::result<void> Sync(const std::string& name) = 0;
   /// Replaces a file through a temporary file; durable on return. A call that
--- a/include/mangoplank/consensus/local_disk.h
+++ b/include/mangoplank/consensus/local_disk.h
@@ -22,6 +22,8 @@
   core::result<std::string> Read(const std::string& name) override;
   core::result<void> Append(const std::string& name,
                             std::string_view data) override;
+  core::result<void> Overwrite(const std::string& name, std::uint64_t from,
+                               std::string_view data) override;
   core::result<void> Sync(const std::string& name) override;
   core::result<void> Replace(const std::string& name,
                              std::string_view data) override;
--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -27,8 +27,12 @@
 
   struct file {
     std::string data;
+    /// Bytes that a power loss keeps.
     std::size_t synced = 0;
     bool entry_synced = false;
+    /// Bytes that the system takes to be on the disk, so that it does not write
+    /// them again: more than `synced` after a failed sync.
+    std::size_t clean = 0;
   };
   std::map<std::string, file> files;
   /// Number of further calls that take effect; later ones fail.
@@ -69,10 +73,22 @@
     return AppendWhatFits(name, data);
   }
   core::result<void> Sync(const std::string& name) override {
+    file& f = files[name];
+    if (sync_failure) f.clean = f.data.size();
     if (sync_failure) return core::Fail(*sync_failure);
     if (!ConsumeCall()) return Failure();
-    files[name].synced = files[name].data.size();
-    files[name].entry_synced = true;
+    if (f.clean <= f.synced) f.synced = f.data.size();
+    f.clean = f.data.size();
+    f.entry_synced = true;
+    return {};
+  }
+  core::result<void> Overwrite(const std::string& name, std::uint64_t from,
+                               std::string_view data) override {
+    if (!ConsumeCall()) return Failure();
+    if (IsReadOnly()) return Full(name);
+    file& f = files[name];
+    if (f.data.compare(from, data.size(), data) != 0) return Failure();
+    f.clean = std::min<std::size_t>(f.clean, from);
     return {};
   }
   core::result<void> Replace(const std::string& name,
@@ -92,6 +108,7 @@
     if (IsReadOnly()) return Full(name);
     files[name].data.resize(size);
     files[name].synced = std::min<std::size_t>(files[name].synced, size);
+    files[name].clean = std::min<std::size_t>(files[name].clean, size);
     return {};
   }
   core::result<void> Remove(const std::string& name) override {
@@ -105,6 +122,9 @@
   /// prefix in which some sectors may not have been written.
   std::shared_ptr<fake_disk> AfterCrash(std::mt19937_64& random) const {
     auto out = std::make_shared<fake_disk>();
+    out->capacity = capacity;
+    out->is_read_only_when_full = is_read_only_when_full;
+    out->refused_calls = refused_calls;
     for (const auto& [name, f] : files) {
       if (!f.entry_synced && random() % 2 == 0) continue;
       const std::size_t tail = f.data.size() - f.synced;
@@ -320,9 +340,16 @@
     RunReadyTasks();
   }
 
-  /// Ends a member as a power loss does. Objects that its tasks still refer to
-  /// are kept until the end of the test.
+  /// Ends a member as a power loss does.
   void Crash(std::size_t i) {
+    if (!members[i]->node) return;
+    EndProcess(i);
+    members[i]->disk = members[i]->disk->AfterCrash(random);
+  }
+  /// Ends a member as a killed process does: its files stay as they are, also
+  /// what is not synced. Objects that its tasks still refer to are kept until
+  /// the end of the test.
+  void EndProcess(std::size_t i) {
     fake_member& m = *members[i];
     if (!m.node) return;
     network.Listen(m.info.id, nullptr);
@@ -330,12 +357,13 @@
     m.node.reset();
     network.CloseLinksOf(m.info.id);
     RunReadyTasks();
-    const auto after = m.disk->AfterCrash(random);
+    const auto files = std::make_shared<fake_disk>(*m.disk);
+    files->calls_left = UINT64_MAX;
     const member info = m.info;
     ended_members_.push_back(
         std::exchange(members[i], std::make_unique<fake_member>()));
     members[i]->info = info;
-    members[i]->disk = after;
+    members[i]->disk = files;
   }
 
   void RunReadyTasks() {
--- a/src/consensus/local_disk.cpp
+++ b/src/consensus/local_disk.cpp
@@ -60,6 +60,11 @@
     }
     return {};
   }
+  core::result<void> Seek(std::uint64_t position) {
+    const off_t moved = ::lseek(fd_, static_cast<off_t>(position), SEEK_SET);
+    if (moved < 0) return Fail(kind::kIo, path_, errno);
+    return {};
+  }
   core::result<std::string> ReadAll() {
     struct stat info {};
     if (::fstat(fd_, &info) != 0) return Fail(kind::kIo, path_, errno);
@@ -160,6 +165,16 @@
   return open_->Write(data);
 }
 
+core::result<void> local_disk::Overwrite(const std::string& name,
+                                         std::uint64_t from,
+                                         std::string_view data) {
+  // Not the file opened for appends: those ignore the position.
+  descriptor d(Path(name), O_WRONLY);
+  BOOST_LEAF_CHECK(d.Check());
+  BOOST_LEAF_CHECK(d.Seek(from));
+  return d.Write(data);
+}
+
 core::result<void> local_disk::Sync(const std::string& name) {
   BOOST_LEAF_CHECK(OpenForAppend(name));
   BOOST_LEAF_CHECK(open_->SyncData());
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -85,7 +85,7 @@
   void InjectFault() {
     const std::size_t i = RandomIndex();
     const bool runs = cluster_.members[i]->node != nullptr;
-    switch (random_() % 11) {
+    switch (random_() % 12) {
       case 0:
       case 1:
         if (runs) cluster_.Crash(i);
@@ -118,6 +118,9 @@
         }
         break;
       case 9:
+        if (runs) cluster_.EndProcess(i);
+        break;
+      case 10:
         if (runs) {
           cluster_.Spawn(
               ChangeMember(i, cluster_.members[RandomIndex()]->info));
--- a/src/consensus/store.cpp
+++ b/src/consensus/store.cpp
@@ -336,6 +336,7 @@
                                       segment_scan& progress) {
   BOOST_LEAF_AUTO(data, files_.Read(name));
   std::size_t from = 0;
+  std::size_t last_frame = 0;
   while (from < data.size()) {
     const frame_view frame = ReadFrame(data, from);
     if (!frame.valid) {
@@ -343,12 +344,20 @@
         return FailWith(kind::kCorrupt, name,
                         fmt::format("bad frame at offset {}", from));
       }
-      return TruncateTail(name, from, data.size());
+      BOOST_LEAF_CHECK(TruncateTail(name, from, data.size()));
+      break;
     }
     BOOST_LEAF_CHECK(ApplyFrame(name, frame.payload, progress));
+    last_frame = from;
     from = *frame.end;
   }
-  return {};
+  if (!is_last) return {};
+  // The process that wrote the last frame may have ended before its sync, or
+  // because the sync failed.
+  BOOST_LEAF_CHECK(files_.Overwrite(
+      name, last_frame,
+      std::string_view(data).substr(last_frame, from - last_frame)));
+  return files_.Sync(name);
 }
 
 core::result<void> store::TruncateTail(const std::string& name,
@@ -356,8 +365,7 @@
   spdlog::warn(
       "{}: truncated {} bytes of a torn write that was never acknowledged",
       name, size - from);
-  BOOST_LEAF_CHECK(files_.Truncate(name, from));
-  return files_.Sync(name);
+  return files_.Truncate(name, from);
 }
 
 core::result<void> store::ApplyFrame(const std::string& name,
--- a/src/consensus/store.h
+++ b/src/consensus/store.h
@@ -67,7 +67,8 @@
                             const std::vector<member>& members);
   /// @return whether the folder holds a header file.
   core::result<bool> Exists();
-  /// Reads the folder and truncates a torn write at the end of the log.
+  /// Reads the folder, truncates a torn write at the end of the log, and makes
+  /// durable what it returns.
   /// @return storage_failed with its kind if the folder can't be used.
   core::result<recovered_state> Open();
   /// Makes a batch durable.
--- a/src/consensus/store_test.cpp
+++ b/src/consensus/store_test.cpp
@@ -277,6 +277,39 @@
   Write(*reopened.store, vote);
 }
 
+// Guards against entries and votes that count as durable after a restart of the
+// process, and are gone after a power loss: a start reads what was written but
+// not synced, and a sync after a failed one does not write its pages again.
+TEST(StoreTest, RestartMakesTheLastFrameDurable) {
+  for (const bool sync_fails : {false, true}) {
+    fake_disk d;
+    Fill(d);
+    auto reopened = Reopen(d);
+    write_batch batch;
+    batch.hard_state = hard_state{2, {"b"}};
+    batch.entries.push_back(Entry(4, 2, std::string(700, 'y')));
+    if (sync_fails) {
+      d.sync_failure = core::storage_failed{kind::kSync, "log", "injected"};
+    } else {
+      d.calls_left = 1;
+    }
+    ASSERT_FALSE(core::Capture([&] { return reopened.store->Write(batch); }));
+    d.calls_left = UINT64_MAX;
+    d.sync_failure.reset();
+    reopened = Reopen(d);
+    ASSERT_TRUE(reopened.content);
+    ASSERT_EQ(reopened.content->entries.size(), 4u);
+    for (std::uint64_t seed = 0; seed < 8; ++seed) {
+      std::mt19937_64 random(seed);
+      const auto after = d.AfterCrash(random);
+      const auto again = Reopen(*after);
+      ASSERT_TRUE(again.content);
+      EXPECT_EQ(again.content->entries.size(), 4u) << sync_fails;
+      EXPECT_EQ(again.content->hard_state, *batch.hard_state) << sync_fails;
+    }
+  }
+}
+
 // Guards against a real file system that behaves differently from the fake.
 TEST(LocalDiskTest, KeepsFiles) {
   char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
