--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -43,6 +43,8 @@
   /// Bytes that the files may hold together. A call that needs more writes what
   /// has room and fails.
   std::size_t capacity = SIZE_MAX;
+  /// Number of further calls before the disk becomes full.
+  std::optional<std::uint64_t> calls_until_full;
   /// Refuses to truncate, remove and rename as well while it is full.
   bool is_read_only_when_full = false;
   /// Calls that failed for lack of room.
@@ -123,6 +125,7 @@
   std::shared_ptr<fake_disk> AfterCrash(std::mt19937_64& random) const {
     auto out = std::make_shared<fake_disk>();
     out->capacity = capacity;
+    out->calls_until_full = calls_until_full;
     out->is_read_only_when_full = is_read_only_when_full;
     out->refused_calls = refused_calls;
     for (const auto& [name, f] : files) {
@@ -143,13 +146,21 @@
  private:
   core::result<void> AppendWhatFits(const std::string& name,
                                     std::string_view data) {
+    CountTowardFull();
     const std::size_t used = UsedBytes();
     const std::size_t room = capacity > used ? capacity - used : 0;
     files[name].data += data.substr(0, room);
     if (data.size() > room) return Full(name);
     return {};
   }
-  bool IsReadOnly() const {
+  void CountTowardFull() {
+    if (calls_until_full && (*calls_until_full)-- == 0) {
+      calls_until_full.reset();
+      LimitRoom(0);
+    }
+  }
+  bool IsReadOnly() {
+    CountTowardFull();
     return is_read_only_when_full && capacity != SIZE_MAX;
   }
   boost::leaf::error_id Full(const std::string& name) {
