--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -181,6 +181,9 @@
   fake_runner(core::clock& clock, core::duration max_delay, std::uint64_t seed)
       : clock_(clock), max_delay_(max_delay), random_(seed) {}
 
+  /// No call starts before this time.
+  core::time_point hangs_until;
+
   core::awaitable<core::outcome<void>> Run(
       std::function<core::result<void>()> work) override {
     const std::uint64_t ticket = last_ticket_++;
@@ -190,6 +193,9 @@
     running_ = work;
     const auto delay = core::duration(random_() % (max_delay_.count() + 1));
     co_await core::SleepFor(clock_, delay);
+    while (clock_.Now() < hangs_until) {
+      co_await core::SleepFor(clock_, hangs_until - clock_.Now());
+    }
     ++next_ticket_;
     if (!std::exchange(running_, nullptr)) co_return core::failure();
     co_return core::Capture(work);
@@ -242,6 +248,7 @@
  public:
   std::vector<std::pair<core::revision, std::string>> applied;
   std::size_t restores = 0;
+  std::size_t snapshots = 0;
   bool is_leader = false;
   /// Called with each command in log order, also for a restored snapshot.
   std::function<void(core::revision, const std::string&)> on_apply;
@@ -250,6 +257,7 @@
     if (entry.kind == entry_kind::kCommand) Record(entry.revision, entry.data);
   }
   std::string TakeSnapshot() override {
+    ++snapshots;
     byte_writer writer;
     for (const auto& [revision, data] : applied) {
       writer.U64(revision);
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -112,6 +112,40 @@
             cluster.members[leader]->machine->applied);
 }
 
+// Guards against a member that receives no entries after a snapshot. Its disk
+// hung while it wrote its own snapshot, until as many batches were in flight as
+// are allowed and the leader had dropped the entries after them. The snapshot
+// that it got acknowledged none of the batches, so no further one was sent until
+// the link failed. With another member down, changes then stayed unanswered
+// while all processes ran.
+TEST(NodeTest, SendsEntriesAfterASnapshotReplacedBatchesInFlight) {
+  fake_cluster cluster(3, 15);
+  cluster.base.snapshot_after_bytes = 4000;
+  cluster.base.max_inflight_batches = 3;
+  StartAll(cluster);
+  const std::size_t leader = cluster.AwaitLeader();
+  const std::size_t slow = (leader + 1) % 3;
+  const std::string command(50, 'a');
+  while (cluster.members[slow]->machine->snapshots == 0) {
+    ASSERT_TRUE(cluster.Await(cluster.At(leader).Propose(command)));
+  }
+  cluster.members[slow]->runner->hangs_until =
+      cluster.clock.Now() + milliseconds(500);
+  for (int i = 0; i < 80; ++i) {
+    ASSERT_TRUE(cluster.Await(cluster.At(leader).Propose(command)));
+  }
+  cluster.RunFor(seconds(2));
+  EXPECT_GE(cluster.members[slow]->machine->restores, 1u);
+  cluster.Crash((leader + 2) % 3);
+  const auto written = cluster.Spawn(cluster.At(leader).Propose("b"));
+  ASSERT_TRUE(
+      cluster.RunUntil([&] { return written->has_value(); }, seconds(3)));
+  EXPECT_TRUE(**written);
+  cluster.RunFor(seconds(1));
+  EXPECT_EQ(cluster.members[slow]->machine->applied,
+            cluster.members[leader]->machine->applied);
+}
+
 // Guards against proposals that never end at a leader without a quorum.
 TEST(NodeTest, IsolatedLeaderFailsPendingProposals) {
   std::set<core::member_id> isolated;
--- a/src/consensus/peer.cpp
+++ b/src/consensus/peer.cpp
@@ -330,6 +330,8 @@
     peer.match_revision =
         std::max(peer.match_revision, reply.snapshot_revision);
     peer.next_revision = peer.match_revision + 1;
+    // The snapshot replaced the batches in flight: none is acknowledged.
+    peer.in_flight.clear();
     peer.sending_snapshot.reset();
     peer.probing = true;
     peer.probe_revision.reset();
