Wait for room on a full disk instead of ending at once

A write that fails with ENOSPC has acknowledged nothing: its frame was not synced and its entries, term and vote were not reported. So it can be repeated with the same batch, in place of the part that was written; the store keeps its segments as they were until the frame is durable. To the protocol the member has a slow sync. A failed sync still ends the process, now also one that fails for lack of room, which was reported as a full disk.

An ended leader costs an election, and its callers get an unknown outcome. A leader that waits keeps its lease and commits what a majority of the others has written; to hand leadership over would not help, as any other leader needs the same majority. After 10 s the process ends as before, which bounds the entries in memory and shows a disk that stays full.

NodeTest.WaitsForRoomOnAFullDisk and StoreTest.RepeatsAWriteAfterTheDiskWasFull failed before (the member stopped at once; "bad frame at offset 2265" after a repeated write). Real programs on a full disk were not run with it yet.

--- a/include/mangoplank/consensus/interfaces.h
+++ b/include/mangoplank/consensus/interfaces.h
@@ -78,6 +78,7 @@
   /// Removes the temporary file of a Replace that a crash interrupted, if that
   /// is possible.
   virtual void RemoveTemporaryFile() = 0;
+  /// Cuts a file, creating it if missing.
   virtual core::result<void> Truncate(const std::string& name,
                                       std::uint64_t size) = 0;
   /// Removes a file; durable on return.
--- a/include/mangoplank/consensus/node.h
+++ b/include/mangoplank/consensus/node.h
@@ -31,6 +31,9 @@
   std::uint64_t snapshot_after_bytes = 8 * 1024 * 1024;
   /// Bounds the memory of uncommitted proposals.
   std::uint64_t max_pending_bytes = 8 * 1024 * 1024;
+  /// How long a write waits for room on a full disk before the node stops. The
+  /// entries that arrive meanwhile are held in memory.
+  core::milliseconds full_disk_wait{10'000};
 };
 
 struct node_status {
--- a/src/consensus/full_disk_test.cpp
+++ b/src/consensus/full_disk_test.cpp
@@ -36,6 +36,10 @@
       const auto [it, fresh] = applied_commands_.emplace(revision, data);
       EXPECT_EQ(it->second, data) << "another command at revision " << revision;
     };
+    // Some members end before their disk has room.
+    if (random_() % 2 == 0) {
+      cluster_.base.full_disk_wait = milliseconds(random_() % 1000);
+    }
     is_read_only_ = random_() % 2 == 0;
     loses_power_ = random_() % 4 == 0;
     joins_ = random_() % 4 == 0;
--- a/src/consensus/local_disk.cpp
+++ b/src/consensus/local_disk.cpp
@@ -27,7 +27,9 @@
 
 boost::leaf::error_id Fail(kind default_kind, const std::string& path,
                            int error) {
-  const bool full = error == ENOSPC || error == EDQUOT;
+  // A sync that fails for lack of room has lost pages like any other.
+  const bool full =
+      default_kind != kind::kSync && (error == ENOSPC || error == EDQUOT);
   return core::Fail(
       core::storage_failed{full ? kind::kFull : default_kind, path,
                            std::generic_category().message(error)});
@@ -213,7 +215,7 @@
 
 core::result<void> local_disk::Truncate(const std::string& name,
                                         std::uint64_t size) {
-  descriptor d(Path(name), O_WRONLY);
+  descriptor d(Path(name), O_WRONLY | O_CREAT);
   BOOST_LEAF_CHECK(d.Check());
   return d.Resize(size);
 }
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -128,7 +128,7 @@
     BOOST_LEAF_ASSIGN(*found, self->storage.Open());
     return {};
   };
-  const auto opened = co_await runner.Run(std::move(work));
+  const auto opened = co_await RunWhenRoom(std::move(work));
   if (!opened) co_return opened.error();
   co_return std::move(*found);
 }
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -217,6 +217,9 @@
 
   // writer.cpp: log in memory, writes to the disk, and applying entries.
   core::awaitable<void> WriterTask();
+  /// Runs work on the disk thread, again while the disk is full.
+  core::awaitable<core::outcome<void>> RunWhenRoom(
+      std::function<core::result<void>()> work);
   bool HasUnsaved() const;
   write_batch NextBatch();
   void AppendEntry(entry_ptr entry);
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -213,6 +213,32 @@
   EXPECT_NE(cluster.AwaitLeader(), leader);
 }
 
+// Guards against a member that ends again and again while its disk is full, and
+// against one that acknowledges what it has not written, or never ends.
+TEST(NodeTest, WaitsForRoomOnAFullDisk) {
+  fake_cluster cluster(1, 15);
+  cluster.Start(0);
+  cluster.AwaitLeader();
+  const auto stopped = cluster.Spawn(cluster.At(0).Stopped());
+  cluster.members[0]->disk->LimitRoom(10);
+  const auto written = cluster.Spawn(cluster.At(0).Propose("a"));
+  cluster.RunFor(seconds(3));
+  EXPECT_FALSE(written->has_value());
+  EXPECT_FALSE(stopped->has_value());
+  cluster.members[0]->disk->capacity = SIZE_MAX;
+  ASSERT_TRUE(
+      cluster.RunUntil([&] { return written->has_value(); }, seconds(1)));
+  EXPECT_TRUE(**written);
+  cluster.members[0]->disk->LimitRoom(10);
+  const auto lost = cluster.Spawn(cluster.At(0).Propose("b"));
+  ASSERT_TRUE(
+      cluster.RunUntil([&] { return stopped->has_value(); }, seconds(11)));
+  const core::failure failure = **stopped;
+  EXPECT_EQ(std::get<core::storage_failed>(failure).k,
+            core::storage_failed::kind::kFull);
+  EXPECT_EQ((*lost)->error(), core::failure(core::commit_unknown{}));
+}
+
 // Guards against a new voter that counts toward a quorum before it has the log,
 // and against a removed leader that does not step down.
 TEST(NodeTest, AddsAndRemovesMembersOneAtATime) {
--- a/src/consensus/store.cpp
+++ b/src/consensus/store.cpp
@@ -178,6 +178,7 @@
   std::uint64_t next_segment_number = 0;
   core::revision required_snapshot = 0;
   core::revision last_revision = 0;
+  std::uint64_t segment_size = 0;
 };
 
 store::store(disk& files, core::cell_id cell, core::member_id self)
@@ -283,8 +284,8 @@
   const auto files = WithPrefix(names, kSegmentPrefix);
   if (files.empty()) return FailWith(kind::kCorrupt, kSegmentPrefix, "no log");
   segments_.clear();
-  must_reset_ = false;
-  segment_scan progress{out, NumberOf(files.front()), 0, 0};
+  must_reset_ = has_partial_frame_ = false;
+  segment_scan progress{out, NumberOf(files.front()), 0, 0, 0};
   for (const std::string& name : files) {
     const std::uint64_t number = NumberOf(name);
     if (number != progress.next_segment_number) {
@@ -294,7 +295,8 @@
     ++progress.next_segment_number;
     progress.last_revision = 0;
     BOOST_LEAF_CHECK(ReadSegment(name, name == files.back(), progress));
-    segments_.push_back({number, progress.last_revision});
+    segments_.push_back(
+        {number, progress.last_revision, progress.segment_size});
   }
   if (progress.required_snapshot > out.last_snapshot.revision) {
     return FailWith(kind::kMissingSnapshot,
@@ -351,6 +353,7 @@
     last_frame = from;
     from = *frame.end;
   }
+  progress.segment_size = from;
   if (!is_last) return {};
   // The process that wrote the last frame may have ended before its sync, or
   // because the sync failed.
@@ -432,29 +435,54 @@
 core::result<void> store::Write(const write_batch& batch) {
   if (batch.hard_state) hard_state_ = *batch.hard_state;
   byte_writer writer;
+  // Kept only once the frame is durable: a write that failed for lack of room
+  // is repeated.
+  segment target = segments_.back();
   if (batch.new_snapshot) {
     // The snapshot is durable before the segment that needs it is created, and
     // older files are removed only after that segment is durable.
     BOOST_LEAF_CHECK(WriteSnapshot(*batch.new_snapshot));
-    segments_.push_back({segments_.back().number + 1, 0});
-    PutSegmentStart(writer, segments_.back().number,
-                    batch.new_snapshot->revision);
+    target = {target.number + 1, 0, 0};
+    PutSegmentStart(writer, target.number, batch.new_snapshot->revision);
   }
   if (batch.discard_log || must_reset_) {
     writer.U8(static_cast<std::uint8_t>(record_type::kReset));
   }
   if (batch.hard_state || batch.new_snapshot) PutHardState(writer, hard_state_);
-  segment& current = segments_.back();
   for (const entry_ptr& entry : batch.entries) {
     PutEntry(writer, *entry);
-    current.last_revision = std::max(current.last_revision, entry->revision);
+    target.last_revision = std::max(target.last_revision, entry->revision);
   }
-  const std::string name = SegmentName(current.number);
-  BOOST_LEAF_CHECK(files_.Append(name, Frame(writer.Out())));
-  BOOST_LEAF_CHECK(files_.Sync(name));
+  const std::string frame = Frame(writer.Out());
+  BOOST_LEAF_CHECK(AppendFrame(target, frame));
+  target.size += frame.size();
+  BOOST_LEAF_CHECK(files_.Sync(SegmentName(target.number)));
   must_reset_ = false;
-  if (!batch.new_snapshot) return {};
-  return RemoveObsoleteFiles(batch.new_snapshot->revision, batch.discard_log);
+  if (!batch.new_snapshot) {
+    segments_.back() = target;
+    return {};
+  }
+  segments_.push_back(target);
+  // The batch is durable. What a full disk refuses to remove is left to the next
+  // snapshot.
+  const auto removed = core::Capture([&] {
+    return RemoveObsoleteFiles(batch.new_snapshot->revision, batch.discard_log);
+  });
+  if (removed) return {};
+  const core::failure failure = removed.error();
+  const auto& failed = std::get<core::storage_failed>(failure);
+  if (failed.k == kind::kFull) return {};
+  return core::Fail(failed);
+}
+
+core::result<void> store::AppendFrame(const segment& target,
+                                      const std::string& frame) {
+  const std::string name = SegmentName(target.number);
+  if (has_partial_frame_) BOOST_LEAF_CHECK(files_.Truncate(name, target.size));
+  has_partial_frame_ = true;
+  BOOST_LEAF_CHECK(files_.Append(name, frame));
+  has_partial_frame_ = false;
+  return {};
 }
 
 core::result<void> store::RemoveObsoleteFiles(core::revision snapshot_revision,
@@ -466,12 +494,10 @@
     BOOST_LEAF_CHECK(files_.Remove(SegmentName(segments_.front().number)));
     segments_.erase(segments_.begin());
   }
-  for (const core::revision revision : snapshot_revisions_) {
-    if (revision != snapshot_revision) {
-      BOOST_LEAF_CHECK(files_.Remove(SnapshotName(revision)));
-    }
+  while (snapshot_revisions_.front() != snapshot_revision) {
+    BOOST_LEAF_CHECK(files_.Remove(SnapshotName(snapshot_revisions_.front())));
+    snapshot_revisions_.erase(snapshot_revisions_.begin());
   }
-  snapshot_revisions_ = {snapshot_revision};
   return {};
 }
 
--- a/src/consensus/store.h
+++ b/src/consensus/store.h
@@ -72,6 +72,9 @@
   /// @return storage_failed with its kind if the folder can't be used.
   core::result<recovered_state> Open();
   /// Makes a batch durable.
+  /// @return storage_failed::kFull if the disk has no room: nothing more may be
+  /// written until a call with the same batch has succeeded. After any other
+  /// failure the folder must be opened again.
   core::result<void> Write(const write_batch& batch);
   /// @return the data of the stored snapshot at `revision`.
   core::result<std::string> ReadSnapshot(core::revision revision);
@@ -81,6 +84,8 @@
     std::uint64_t number = 0;
     /// Highest revision in the segment.
     core::revision last_revision = 0;
+    /// Bytes of its whole frames.
+    std::uint64_t size = 0;
   };
   struct segment_scan;
 
@@ -98,6 +103,9 @@
   core::result<void> TruncateTail(const std::string& name, std::uint64_t from,
                                   std::uint64_t size);
   core::result<void> WriteSnapshot(const snapshot& written);
+  /// Appends a frame, in place of what a call that failed has written of it.
+  core::result<void> AppendFrame(const segment& target,
+                                 const std::string& frame);
   core::result<void> RemoveObsoleteFiles(core::revision snapshot_revision,
                                          bool all_segments);
 
@@ -109,6 +117,8 @@
   hard_state hard_state_;
   /// The next frame discards stored entries that the last snapshot replaced.
   bool must_reset_ = false;
+  /// The last segment may end with a part of a frame.
+  bool has_partial_frame_ = false;
 };
 
 }  // namespace mangoplank::consensus
--- a/src/consensus/store_test.cpp
+++ b/src/consensus/store_test.cpp
@@ -310,6 +310,63 @@
   }
 }
 
+// Guards against a write that can't be repeated once the disk has room: a part
+// of a frame, a new segment or a snapshot of the failed call stays, or the folder
+// can't be opened if the process ends in between.
+TEST(StoreTest, RepeatsAWriteAfterTheDiskWasFull) {
+  write_batch entries;
+  entries.hard_state = hard_state{2, {"b"}};
+  entries.entries.push_back(Entry(4, 2, std::string(300, 'y')));
+  write_batch own = entries;
+  own.new_snapshot = SnapshotAt(2);
+  write_batch received = entries;
+  received.new_snapshot = SnapshotAt(3);
+  received.discard_log = true;
+  for (const write_batch& batch : {entries, own, received}) {
+    for (const bool read_only : {false, true}) {
+      std::size_t refused = 0;
+      for (std::size_t room = 0; room < 600; ++room) {
+        fake_disk d;
+        Fill(d);
+        auto reopened = Reopen(d);
+        d.is_read_only_when_full = read_only;
+        d.LimitRoom(room);
+        for (int attempt = 0; attempt < 2; ++attempt) {
+          const auto written =
+              core::Capture([&] { return reopened.store->Write(batch); });
+          if (written) break;
+          ASSERT_EQ(std::get<core::storage_failed>(written.error()).k,
+                    kind::kFull);
+          ++refused;
+        }
+        std::mt19937_64 random(room);
+        const auto after = d.AfterCrash(random);
+        after->capacity = SIZE_MAX;
+        ASSERT_TRUE(Reopen(*after).content) << room;
+        d.capacity = SIZE_MAX;
+        Write(*reopened.store, batch);
+        write_batch next;
+        next.entries.push_back(Entry(5, 2, "next"));
+        Write(*reopened.store, next);
+        reopened = Reopen(d);
+        ASSERT_TRUE(reopened.content)
+            << room << core::Describe(reopened.content.error());
+        const auto& c = *reopened.content;
+        EXPECT_EQ(c.hard_state, *batch.hard_state);
+        const core::revision base = c.last_snapshot.revision;
+        EXPECT_EQ(base, batch.new_snapshot ? batch.new_snapshot->revision : 0);
+        ASSERT_EQ(c.entries.size(), 5 - base) << room;
+        EXPECT_EQ(*c.entries[3 - base], *batch.entries[0]);
+        write_batch last;
+        last.new_snapshot = SnapshotAt(5);
+        Write(*reopened.store, last);
+        ASSERT_EQ(d.files.size(), 3u) << room;
+      }
+      EXPECT_GT(refused, 0u);
+    }
+  }
+}
+
 // Guards against a real file system that behaves differently from the fake.
 TEST(LocalDiskTest, KeepsFiles) {
   char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
--- a/src/consensus/writer.cpp
+++ b/src/consensus/writer.cpp
@@ -13,6 +13,14 @@
 
 // Bounds the time of one sync, so that a vote does not wait for a long write.
 constexpr std::uint64_t kMaxWriteBytes = 4 * 1024 * 1024;
+constexpr core::milliseconds kRoomCheckInterval{100};
+
+bool IsDiskFull(const core::outcome<void>& written) {
+  if (written) return false;
+  const core::failure failure = written.error();
+  const auto* failed = std::get_if<core::storage_failed>(&failure);
+  return failed != nullptr && failed->k == core::storage_failed::kind::kFull;
+}
 
 }  // namespace
 
@@ -37,6 +45,33 @@
   return batch;
 }
 
+/// A write that the disk refused for lack of room has acknowledged nothing, so
+/// it can be repeated. Until it succeeds this member is one with a slow sync:
+/// its votes and entries count nowhere, and as leader it still commits what a
+/// majority of the others has written.
+core::awaitable<core::outcome<void>> node::impl::RunWhenRoom(
+    std::function<core::result<void>()> work) {
+  const core::time_point give_up = clock.Now() + settings.full_disk_wait;
+  bool has_waited = false;
+  while (true) {
+    auto attempt = work;
+    const auto done = co_await runner.Run(std::move(attempt));
+    const bool is_full = IsDiskFull(done);
+    if (has_waited && !is_full) {
+      spdlog::info("{}: the disk has room again", settings.self.v);
+    }
+    if (ended || !is_full || clock.Now() >= give_up) co_return done;
+    if (!std::exchange(has_waited, true)) {
+      spdlog::warn("{}: waits for room: {}", settings.self.v,
+                   core::Describe(done.error()));
+    }
+    const core::time_point next = clock.Now() + kRoomCheckInterval;
+    while (!ended && clock.Now() < next) {
+      co_await writer_wake.WaitUntil(next);
+    }
+  }
+}
+
 /// Group commit: entries that arrive during a sync share the next one.
 core::awaitable<void> node::impl::WriterTask() {
   const auto self = shared_from_this();
@@ -52,7 +87,7 @@
     std::function<core::result<void>()> work = [self, batch] {
       return self->storage.Write(*batch);
     };
-    const auto written = co_await runner.Run(std::move(work));
+    const auto written = co_await RunWhenRoom(std::move(work));
     if (ended) co_return;
     if (!written) {
       // The success of a later sync would not prove that these pages were
