--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -115,9 +115,9 @@
 // Guards against a member that receives no entries after a snapshot. Its disk
 // hung while it wrote its own snapshot, until as many batches were in flight as
 // are allowed and the leader had dropped the entries after them. The snapshot
-// that it got acknowledged none of the batches, so no further one was sent until
-// the link failed. With another member down, changes then stayed unanswered
-// while all processes ran.
+// that it got acknowledged none of the batches, so no further one was sent
+// until the link failed. With another member down, changes then stayed
+// unanswered while all processes ran.
 TEST(NodeTest, SendsEntriesAfterASnapshotReplacedBatchesInFlight) {
   fake_cluster cluster(3, 15);
   cluster.base.snapshot_after_bytes = 4000;
--- a/src/consensus/store.cpp
+++ b/src/consensus/store.cpp
@@ -463,8 +463,8 @@
     return {};
   }
   segments_.push_back(target);
-  // The batch is durable. What a full disk refuses to remove is left to the next
-  // snapshot.
+  // The batch is durable. What a full disk refuses to remove is left to the
+  // next snapshot.
   const auto removed = core::Capture([&] {
     return RemoveObsoleteFiles(batch.new_snapshot->revision, batch.discard_log);
   });
--- a/src/consensus/store_test.cpp
+++ b/src/consensus/store_test.cpp
@@ -245,9 +245,8 @@
       next.entries.push_back(Entry(revision + 1, 2, "next"));
       Write(*reopened.store, next);
       reopened = Reopen(*after);
-      ASSERT_TRUE(reopened.content)
-          << revision << " " << calls << " "
-          << core::Describe(reopened.content.error());
+      ASSERT_TRUE(reopened.content) << revision << " " << calls << " "
+                                    << core::Describe(reopened.content.error());
       ASSERT_EQ(reopened.content->entries.size(), 1u) << calls;
       EXPECT_EQ(*reopened.content->entries[0], *next.entries[0]);
     }
@@ -262,8 +261,7 @@
   auto reopened = Reopen(d);
   write_batch too_large;
   too_large.new_snapshot = SnapshotAt(3);
-  too_large.new_snapshot->data =
-      std::make_shared<const std::string>(5000, 's');
+  too_large.new_snapshot->data = std::make_shared<const std::string>(5000, 's');
   d.LimitRoom(2000);
   const auto written =
       core::Capture([&] { return reopened.store->Write(too_large); });
@@ -311,8 +309,8 @@
 }
 
 // Guards against a write that can't be repeated once the disk has room: a part
-// of a frame, a new segment or a snapshot of the failed call stays, or the folder
-// can't be opened if the process ends in between.
+// of a frame, a new segment or a snapshot of the failed call stays, or the
+// folder can't be opened if the process ends in between.
 TEST(StoreTest, RepeatsAWriteAfterTheDiskWasFull) {
   write_batch entries;
   entries.hard_state = hard_state{2, {"b"}};
@@ -392,8 +390,8 @@
 }
 
 // Guards against a failed replacement, or one that a crash interrupted, whose
-// temporary file takes room for ever. The size limit of a file stands for a full
-// disk, which needs privileges.
+// temporary file takes room for ever. The size limit of a file stands for a
+// full disk, which needs privileges.
 TEST(LocalDiskTest, LeavesNoTemporaryFile) {
   char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
   ASSERT_NE(::mkdtemp(pattern), nullptr);
