--- a/include/mangoplank/consensus/interfaces.h
+++ b/include/mangoplank/consensus/interfaces.h
@@ -64,11 +64,21 @@
   /// Appends to a file, creating it if missing. Not durable before Sync.
   virtual core::result<void> Append(const std::string& name,
                                     std::string_view data) = 0;
+  /// Writes bytes again that a file has, so that a later Sync proves them
+  /// durable even if an earlier one failed.
+  virtual core::result<void> Overwrite(const std::string& name,
+                                       std::uint64_t from,
+                                       std::string_view data) = 0;
   /// Makes the content of a file and its folder entry durable.
   virtual core::result<void> Sync(const std::string& name) = 0;
-  /// Replaces a file through a temporary file; durable on return.
+  /// Replaces a file through a temporary file; durable on return. A call that
+  /// fails leaves no temporary file if it can be removed.
   virtual core::result<void> Replace(const std::string& name,
                                      std::string_view data) = 0;
+  /// Removes the temporary file of a Replace that a crash interrupted, if that
+  /// is possible.
+  virtual void RemoveTemporaryFile() = 0;
+  /// Cuts a file, creating it if missing.
   virtual core::result<void> Truncate(const std::string& name,
                                       std::uint64_t size) = 0;
   /// Removes a file; durable on return.
--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -23,10 +23,16 @@
 /// Files in memory. A crash keeps a part of the unsynced data.
 class fake_disk : public disk {
  public:
+  static constexpr char kTemporaryName[] = "replacement.tmp";
+
   struct file {
     std::string data;
+    /// Bytes that a power loss keeps.
     std::size_t synced = 0;
     bool entry_synced = false;
+    /// Bytes that the system takes to be on the disk, so that it does not write
+    /// them again: more than `synced` after a failed sync.
+    std::size_t clean = 0;
   };
   std::map<std::string, file> files;
   /// Number of further calls that take effect; later ones fail.
@@ -34,6 +40,23 @@
   /// If set, Sync and Append fail with it.
   std::optional<core::storage_failed> sync_failure;
   std::optional<core::storage_failed> append_failure;
+  /// Bytes that the files may hold together. A call that needs more writes what
+  /// has room and fails.
+  std::size_t capacity = SIZE_MAX;
+  /// Number of further calls before the disk becomes full.
+  std::optional<std::uint64_t> calls_until_full;
+  /// Refuses to truncate, remove and rename as well while it is full.
+  bool is_read_only_when_full = false;
+  /// Calls that failed for lack of room.
+  std::size_t refused_calls = 0;
+
+  std::size_t UsedBytes() const {
+    std::size_t used = 0;
+    for (const auto& [name, f] : files) used += f.data.size();
+    return used;
+  }
+  /// Leaves room for `bytes` more.
+  void LimitRoom(std::size_t bytes) { capacity = UsedBytes() + bytes; }
 
   core::result<std::vector<std::string>> List() override {
     std::vector<std::string> names;
@@ -49,31 +72,51 @@
                             std::string_view data) override {
     if (append_failure) return core::Fail(*append_failure);
     if (!ConsumeCall()) return Failure();
-    files[name].data += data;
-    return {};
+    return AppendWhatFits(name, data);
   }
   core::result<void> Sync(const std::string& name) override {
+    file& f = files[name];
+    if (sync_failure) f.clean = f.data.size();
     if (sync_failure) return core::Fail(*sync_failure);
     if (!ConsumeCall()) return Failure();
-    files[name].synced = files[name].data.size();
-    files[name].entry_synced = true;
+    if (f.clean <= f.synced) f.synced = f.data.size();
+    f.clean = f.data.size();
+    f.entry_synced = true;
+    return {};
+  }
+  core::result<void> Overwrite(const std::string& name, std::uint64_t from,
+                               std::string_view data) override {
+    if (!ConsumeCall()) return Failure();
+    if (IsReadOnly()) return Full(name);
+    file& f = files[name];
+    if (f.data.compare(from, data.size(), data) != 0) return Failure();
+    f.clean = std::min<std::size_t>(f.clean, from);
     return {};
   }
   core::result<void> Replace(const std::string& name,
                              std::string_view data) override {
+    // A process that ends here leaves the temporary file.
+    files.erase(kTemporaryName);
+    BOOST_LEAF_CHECK(AppendWhatFits(kTemporaryName, data));
     if (!ConsumeCall()) return Failure();
+    files.erase(kTemporaryName);
     files[name] = file{std::string(data), data.size(), true};
     return {};
   }
+  void RemoveTemporaryFile() override { files.erase(kTemporaryName); }
   core::result<void> Truncate(const std::string& name,
                               std::uint64_t size) override {
     if (!ConsumeCall()) return Failure();
+    if (IsReadOnly()) return Full(name);
     files[name].data.resize(size);
     files[name].synced = std::min<std::size_t>(files[name].synced, size);
+    files[name].clean = std::min<std::size_t>(files[name].clean, size);
     return {};
   }
   core::result<void> Remove(const std::string& name) override {
-    if (!ConsumeCall() || files.erase(name) == 0) return Failure();
+    if (!ConsumeCall()) return Failure();
+    if (IsReadOnly()) return Full(name);
+    if (files.erase(name) == 0) return Failure();
     return {};
   }
 
@@ -81,6 +124,10 @@
   /// prefix in which some sectors may not have been written.
   std::shared_ptr<fake_disk> AfterCrash(std::mt19937_64& random) const {
     auto out = std::make_shared<fake_disk>();
+    out->capacity = capacity;
+    out->calls_until_full = calls_until_full;
+    out->is_read_only_when_full = is_read_only_when_full;
+    out->refused_calls = refused_calls;
     for (const auto& [name, f] : files) {
       if (!f.entry_synced && random() % 2 == 0) continue;
       const std::size_t tail = f.data.size() - f.synced;
@@ -97,6 +144,30 @@
   }
 
  private:
+  core::result<void> AppendWhatFits(const std::string& name,
+                                    std::string_view data) {
+    CountTowardFull();
+    const std::size_t used = UsedBytes();
+    const std::size_t room = capacity > used ? capacity - used : 0;
+    files[name].data += data.substr(0, room);
+    if (data.size() > room) return Full(name);
+    return {};
+  }
+  void CountTowardFull() {
+    if (calls_until_full && (*calls_until_full)-- == 0) {
+      calls_until_full.reset();
+      LimitRoom(0);
+    }
+  }
+  bool IsReadOnly() {
+    CountTowardFull();
+    return is_read_only_when_full && capacity != SIZE_MAX;
+  }
+  boost::leaf::error_id Full(const std::string& name) {
+    ++refused_calls;
+    return core::Fail(core::storage_failed{core::storage_failed::kind::kFull,
+                                           name, "injected"});
+  }
   bool ConsumeCall() { return calls_left > 0 && calls_left-- > 0; }
   static boost::leaf::error_id Failure() {
     return core::Fail(core::storage_failed{});
@@ -110,6 +181,9 @@
   fake_runner(core::clock& clock, core::duration max_delay, std::uint64_t seed)
       : clock_(clock), max_delay_(max_delay), random_(seed) {}
 
+  /// No call starts before this time.
+  core::time_point hangs_until;
+
   core::awaitable<core::outcome<void>> Run(
       std::function<core::result<void>()> work) override {
     const std::uint64_t ticket = last_ticket_++;
@@ -119,6 +193,9 @@
     running_ = work;
     const auto delay = core::duration(random_() % (max_delay_.count() + 1));
     co_await core::SleepFor(clock_, delay);
+    while (clock_.Now() < hangs_until) {
+      co_await core::SleepFor(clock_, hangs_until - clock_.Now());
+    }
     ++next_ticket_;
     if (!std::exchange(running_, nullptr)) co_return core::failure();
     co_return core::Capture(work);
@@ -171,6 +248,7 @@
  public:
   std::vector<std::pair<core::revision, std::string>> applied;
   std::size_t restores = 0;
+  std::size_t snapshots = 0;
   bool is_leader = false;
   /// Called with each command in log order, also for a restored snapshot.
   std::function<void(core::revision, const std::string&)> on_apply;
@@ -179,6 +257,7 @@
     if (entry.kind == entry_kind::kCommand) Record(entry.revision, entry.data);
   }
   std::string TakeSnapshot() override {
+    ++snapshots;
     byte_writer writer;
     for (const auto& [revision, data] : applied) {
       writer.U64(revision);
@@ -280,9 +359,16 @@
     RunReadyTasks();
   }
 
-  /// Ends a member as a power loss does. Objects that its tasks still refer to
-  /// are kept until the end of the test.
+  /// Ends a member as a power loss does.
   void Crash(std::size_t i) {
+    if (!members[i]->node) return;
+    EndProcess(i);
+    members[i]->disk = members[i]->disk->AfterCrash(random);
+  }
+  /// Ends a member as a killed process does: its files stay as they are, also
+  /// what is not synced. Objects that its tasks still refer to are kept until
+  /// the end of the test.
+  void EndProcess(std::size_t i) {
     fake_member& m = *members[i];
     if (!m.node) return;
     network.Listen(m.info.id, nullptr);
@@ -290,12 +376,13 @@
     m.node.reset();
     network.CloseLinksOf(m.info.id);
     RunReadyTasks();
-    const auto after = m.disk->AfterCrash(random);
+    const auto files = std::make_shared<fake_disk>(*m.disk);
+    files->calls_left = UINT64_MAX;
     const member info = m.info;
     ended_members_.push_back(
         std::exchange(members[i], std::make_unique<fake_member>()));
     members[i]->info = info;
-    members[i]->disk = after;
+    members[i]->disk = files;
   }
 
   void RunReadyTasks() {
--- a/src/consensus/local_disk.cpp
+++ b/src/consensus/local_disk.cpp
@@ -27,7 +27,9 @@
 
 boost::leaf::error_id Fail(kind default_kind, const std::string& path,
                            int error) {
-  const bool full = error == ENOSPC || error == EDQUOT;
+  // A sync that fails for lack of room has lost pages like any other.
+  const bool full =
+      default_kind != kind::kSync && (error == ENOSPC || error == EDQUOT);
   return core::Fail(
       core::storage_failed{full ? kind::kFull : default_kind, path,
                            std::generic_category().message(error)});
@@ -60,6 +62,11 @@
     }
     return {};
   }
+  core::result<void> Seek(std::uint64_t position) {
+    const off_t moved = ::lseek(fd_, static_cast<off_t>(position), SEEK_SET);
+    if (moved < 0) return Fail(kind::kIo, path_, errno);
+    return {};
+  }
   core::result<std::string> ReadAll() {
     struct stat info {};
     if (::fstat(fd_, &info) != 0) return Fail(kind::kIo, path_, errno);
@@ -160,6 +167,16 @@
   return open_->Write(data);
 }
 
+core::result<void> local_disk::Overwrite(const std::string& name,
+                                         std::uint64_t from,
+                                         std::string_view data) {
+  // Not the file opened for appends: those ignore the position.
+  descriptor d(Path(name), O_WRONLY);
+  BOOST_LEAF_CHECK(d.Check());
+  BOOST_LEAF_CHECK(d.Seek(from));
+  return d.Write(data);
+}
+
 core::result<void> local_disk::Sync(const std::string& name) {
   BOOST_LEAF_CHECK(OpenForAppend(name));
   BOOST_LEAF_CHECK(open_->SyncData());
@@ -167,25 +184,38 @@
   return SyncFolder();
 }
 
+core::result<void> local_disk::WriteTemporaryFile(std::string_view data) {
+  descriptor d(Path(kTemporaryName), O_WRONLY | O_CREAT | O_TRUNC);
+  BOOST_LEAF_CHECK(d.Check());
+  BOOST_LEAF_CHECK(d.Write(data));
+  return d.SyncAll();
+}
+
 core::result<void> local_disk::Replace(const std::string& name,
                                        std::string_view data) {
   BOOST_LEAF_CHECK(CreateFolder());
-  {
-    descriptor d(Path(kTemporaryName), O_WRONLY | O_CREAT | O_TRUNC);
-    BOOST_LEAF_CHECK(d.Check());
-    BOOST_LEAF_CHECK(d.Write(data));
-    BOOST_LEAF_CHECK(d.SyncAll());
-  }
   const std::string from = Path(kTemporaryName);
+  auto written = WriteTemporaryFile(data);
+  if (!written) {
+    // On a full disk it holds the room that the next small write needs.
+    RemoveTemporaryFile();
+    return written.error();
+  }
   if (::rename(from.c_str(), Path(name).c_str()) != 0) {
-    return Fail(kind::kIo, Path(name), errno);
+    const auto failed = Fail(kind::kIo, Path(name), errno);
+    RemoveTemporaryFile();
+    return failed;
   }
   return SyncFolder();
 }
 
+void local_disk::RemoveTemporaryFile() {
+  ::unlink(Path(kTemporaryName).c_str());
+}
+
 core::result<void> local_disk::Truncate(const std::string& name,
                                         std::uint64_t size) {
-  descriptor d(Path(name), O_WRONLY);
+  descriptor d(Path(name), O_WRONLY | O_CREAT);
   BOOST_LEAF_CHECK(d.Check());
   return d.Resize(size);
 }
--- a/src/consensus/store_test.cpp
+++ b/src/consensus/store_test.cpp
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
+#include <csignal>
 #include <filesystem>
+#include <fstream>
 
 #include "consensus/fake_cluster.h"
 #include "mangoplank/consensus/local_disk.h"
@@ -216,6 +219,152 @@
   }
 }
 
+// Guards against a folder that can't be opened, or that lacks written entries,
+// after a write of a received snapshot ended between two of its steps. The next
+// entries then followed stored ones that the snapshot had replaced.
+TEST(StoreTest, WritesAfterACrashAtEachStepOfAReceivedSnapshot) {
+  // The stored log ends before the snapshot, or has another entry at it.
+  for (const core::revision revision : {9, 3}) {
+    for (std::uint64_t calls = 0; calls < 8; ++calls) {
+      fake_disk d;
+      Fill(d);
+      auto reopened = Reopen(d);
+      write_batch received;
+      received.new_snapshot = SnapshotAt(revision);
+      received.new_snapshot->term = 2;
+      received.discard_log = true;
+      d.calls_left = calls;
+      (void)core::Capture([&] { return reopened.store->Write(received); });
+      std::mt19937_64 random(calls);
+      const auto after = d.AfterCrash(random);
+      reopened = Reopen(*after);
+      ASSERT_TRUE(reopened.content);
+      if (reopened.content->last_snapshot.revision != revision) continue;
+      EXPECT_TRUE(reopened.content->entries.empty());
+      write_batch next;
+      next.entries.push_back(Entry(revision + 1, 2, "next"));
+      Write(*reopened.store, next);
+      reopened = Reopen(*after);
+      ASSERT_TRUE(reopened.content) << revision << " " << calls << " "
+                                    << core::Describe(reopened.content.error());
+      ASSERT_EQ(reopened.content->entries.size(), 1u) << calls;
+      EXPECT_EQ(*reopened.content->entries[0], *next.entries[0]);
+    }
+  }
+}
+
+// Guards against a member that never writes again because the temporary file of
+// its own snapshot holds the last room of its disk.
+TEST(StoreTest, InterruptedReplaceLeavesRoomAfterARestart) {
+  fake_disk d;
+  Fill(d);
+  auto reopened = Reopen(d);
+  write_batch too_large;
+  too_large.new_snapshot = SnapshotAt(3);
+  too_large.new_snapshot->data = std::make_shared<const std::string>(5000, 's');
+  d.LimitRoom(2000);
+  const auto written =
+      core::Capture([&] { return reopened.store->Write(too_large); });
+  ASSERT_FALSE(written);
+  EXPECT_EQ(std::get<core::storage_failed>(written.error()).k, kind::kFull);
+  ASSERT_EQ(d.UsedBytes(), d.capacity);
+  reopened = Reopen(d);
+  ASSERT_TRUE(reopened.content);
+  write_batch vote;
+  vote.hard_state = hard_state{2, {"b"}};
+  Write(*reopened.store, vote);
+}
+
+// Guards against entries and votes that count as durable after a restart of the
+// process, and are gone after a power loss: a start reads what was written but
+// not synced, and a sync after a failed one does not write its pages again.
+TEST(StoreTest, RestartMakesTheLastFrameDurable) {
+  for (const bool sync_fails : {false, true}) {
+    fake_disk d;
+    Fill(d);
+    auto reopened = Reopen(d);
+    write_batch batch;
+    batch.hard_state = hard_state{2, {"b"}};
+    batch.entries.push_back(Entry(4, 2, std::string(700, 'y')));
+    if (sync_fails) {
+      d.sync_failure = core::storage_failed{kind::kSync, "log", "injected"};
+    } else {
+      d.calls_left = 1;
+    }
+    ASSERT_FALSE(core::Capture([&] { return reopened.store->Write(batch); }));
+    d.calls_left = UINT64_MAX;
+    d.sync_failure.reset();
+    reopened = Reopen(d);
+    ASSERT_TRUE(reopened.content);
+    ASSERT_EQ(reopened.content->entries.size(), 4u);
+    for (std::uint64_t seed = 0; seed < 8; ++seed) {
+      std::mt19937_64 random(seed);
+      const auto after = d.AfterCrash(random);
+      const auto again = Reopen(*after);
+      ASSERT_TRUE(again.content);
+      EXPECT_EQ(again.content->entries.size(), 4u) << sync_fails;
+      EXPECT_EQ(again.content->hard_state, *batch.hard_state) << sync_fails;
+    }
+  }
+}
+
+// Guards against a write that can't be repeated once the disk has room: a part
+// of a frame, a new segment or a snapshot of the failed call stays, or the
+// folder can't be opened if the process ends in between.
+TEST(StoreTest, RepeatsAWriteAfterTheDiskWasFull) {
+  write_batch entries;
+  entries.hard_state = hard_state{2, {"b"}};
+  entries.entries.push_back(Entry(4, 2, std::string(300, 'y')));
+  write_batch own = entries;
+  own.new_snapshot = SnapshotAt(2);
+  write_batch received = entries;
+  received.new_snapshot = SnapshotAt(3);
+  received.discard_log = true;
+  for (const write_batch& batch : {entries, own, received}) {
+    for (const bool read_only : {false, true}) {
+      std::size_t refused = 0;
+      for (std::size_t room = 0; room < 600; ++room) {
+        fake_disk d;
+        Fill(d);
+        auto reopened = Reopen(d);
+        d.is_read_only_when_full = read_only;
+        d.LimitRoom(room);
+        for (int attempt = 0; attempt < 2; ++attempt) {
+          const auto written =
+              core::Capture([&] { return reopened.store->Write(batch); });
+          if (written) break;
+          ASSERT_EQ(std::get<core::storage_failed>(written.error()).k,
+                    kind::kFull);
+          ++refused;
+        }
+        std::mt19937_64 random(room);
+        const auto after = d.AfterCrash(random);
+        after->capacity = SIZE_MAX;
+        ASSERT_TRUE(Reopen(*after).content) << room;
+        d.capacity = SIZE_MAX;
+        Write(*reopened.store, batch);
+        write_batch next;
+        next.entries.push_back(Entry(5, 2, "next"));
+        Write(*reopened.store, next);
+        reopened = Reopen(d);
+        ASSERT_TRUE(reopened.content)
+            << room << core::Describe(reopened.content.error());
+        const auto& c = *reopened.content;
+        EXPECT_EQ(c.hard_state, *batch.hard_state);
+        const core::revision base = c.last_snapshot.revision;
+        EXPECT_EQ(base, batch.new_snapshot ? batch.new_snapshot->revision : 0);
+        ASSERT_EQ(c.entries.size(), 5 - base) << room;
+        EXPECT_EQ(*c.entries[3 - base], *batch.entries[0]);
+        write_batch last;
+        last.new_snapshot = SnapshotAt(5);
+        Write(*reopened.store, last);
+        ASSERT_EQ(d.files.size(), 3u) << room;
+      }
+      EXPECT_GT(refused, 0u);
+    }
+  }
+}
+
 // Guards against a real file system that behaves differently from the fake.
 TEST(LocalDiskTest, KeepsFiles) {
   char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
@@ -240,6 +389,34 @@
   std::filesystem::remove_all(pattern);
 }
 
+// Guards against a failed replacement, or one that a crash interrupted, whose
+// temporary file takes room for ever. The size limit of a file stands for a
+// full disk, which needs privileges.
+TEST(LocalDiskTest, LeavesNoTemporaryFile) {
+  char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
+  ASSERT_NE(::mkdtemp(pattern), nullptr);
+  local_disk d(pattern);
+  Fill(d);
+  const std::size_t count = d.List()->size();
+  const std::string temporary = std::string(pattern) + "/replacement.tmp";
+  std::ofstream(temporary) << "partial";
+  ASSERT_TRUE(Reopen(d).content);
+  EXPECT_EQ(d.List()->size(), count);
+
+  rlimit old_limit{};
+  ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &old_limit), 0);
+  const auto old_handler = std::signal(SIGXFSZ, SIG_IGN);
+  const rlimit limit{10'000, old_limit.rlim_max};
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &limit), 0);
+  const auto replaced = core::Capture(
+      [&] { return d.Replace("large", std::string(20'000, 'x')); });
+  ::setrlimit(RLIMIT_FSIZE, &old_limit);
+  std::signal(SIGXFSZ, old_handler);
+  EXPECT_FALSE(replaced);
+  EXPECT_EQ(d.List()->size(), count);
+  std::filesystem::remove_all(pattern);
+}
+
 // Guards against a full disk that is reported as an I/O error. Each write to
 // /dev/full fails with ENOSPC.
 TEST(LocalDiskTest, ReportsAFullDisk) {
