Split the monitor of workers by duty

Cause: worker_monitor.cpp held polls and leases, start and stop orders and the loss of workers in 559 lines. The name of a run in logs and two constants that several files use moved to headers. Conclusion: no change of behaviour.

--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -17,6 +17,10 @@
 
 /// A worker that answers this long after the start of a run has survived it.
 inline constexpr core::milliseconds kStartTime{300};
+/// Time allowed for an answer beyond the wait of the order.
+inline constexpr core::milliseconds kOrderTimeout{800};
+/// Pause after an order without an answer.
+inline constexpr core::milliseconds kRetryPause{150};
 
 /// How the leader learned that an incarnation of a worker is lost.
 enum class worker_loss : std::uint8_t {
@@ -113,7 +117,7 @@
   void NoteStarted(const std::string& job);
   core::awaitable<void> RecordStartedJobs();
 
-  // worker_monitor.cpp: orders to one worker and its reports.
+  // worker_monitor.cpp: polls of one worker, its lease and its reports.
   core::awaitable<void> MonitorWorker(std::shared_ptr<worker_monitor> monitor);
   core::awaitable<bool> Poll(std::shared_ptr<worker_monitor> monitor,
                              core::milliseconds wait);
@@ -123,33 +127,37 @@
   std::vector<workflow::event> MissingRuns(const worker_monitor& monitor,
                                            std::uint64_t poll_number,
                                            const worker_report& report) const;
+  worker_target TargetOf(const worker_monitor& monitor) const;
+  std::shared_ptr<worker_monitor> FindMonitor(
+      const workflow::worker_key& worker) const;
+  core::awaitable<bool> ConfirmIncarnation(workflow::worker_key worker);
+  std::optional<std::int64_t> NextLeaseEndMs(worker_monitor& monitor);
+  void UpdateClock(worker_monitor& monitor, std::int64_t clock_ms,
+                   reading_source source);
+  std::int64_t MinClockMs(const worker_monitor& monitor,
+                          core::time_point time) const;
+  bool IsClockOfOtherIncarnation(const worker_monitor& monitor,
+                                 std::int64_t clock_ms) const;
+
+  // run_orders.cpp: orders to start and stop the runs of one worker.
   core::awaitable<void> StartRun(planned_run planned);
   void RecordStart(const workflow::run_id& run, const worker_monitor& monitor);
   core::awaitable<void> ResolveStart(std::shared_ptr<worker_monitor> monitor,
                                      workflow::run_id run);
+  core::awaitable<void> PollAfterStart(std::shared_ptr<worker_monitor> monitor);
   core::awaitable<void> StopRun(std::shared_ptr<worker_monitor> monitor,
                                 workflow::run_id run);
   core::awaitable<void> RecordRunEnd(workflow::run_id run,
                                      workflow::run_end ending);
-  worker_target TargetOf(const worker_monitor& monitor) const;
-  core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
-                                     worker_loss loss, std::string reason);
+
+  // worker_loss.cpp: ends of workers, and what they mean for their runs.
   bool HasSurvivedStart(const worker_monitor& monitor,
                         const tracked_run& tracked,
                         core::milliseconds time) const;
   void OnWorkerLost(worker_monitor& monitor, worker_loss loss);
-  core::awaitable<void> PollAfterStart(std::shared_ptr<worker_monitor> monitor);
-  std::shared_ptr<worker_monitor> FindMonitor(
-      const workflow::worker_key& worker) const;
-  core::awaitable<bool> ConfirmIncarnation(workflow::worker_key worker);
+  core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
+                                     worker_loss loss, std::string reason);
   core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
-  std::optional<std::int64_t> NextLeaseEndMs(worker_monitor& monitor);
-  void UpdateClock(worker_monitor& monitor, std::int64_t clock_ms,
-                   reading_source source);
-  std::int64_t MinClockMs(const worker_monitor& monitor,
-                          core::time_point time) const;
-  bool IsClockOfOtherIncarnation(const worker_monitor& monitor,
-                                 std::int64_t clock_ms) const;
 
   // planner.cpp: rounds, and the order of the waiting jobs.
   core::awaitable<void> PlanLoop();
--- /dev/null
+++ b/src/dispatch/run_orders.cpp
@@ -0,0 +1,182 @@
+#include <spdlog/spdlog.h>
+
+#include "dispatch/dispatcher_impl.h"
+
+/// Orders to start and stop the runs of one worker.
+namespace mangoplank::dispatch {
+
+using core::awaitable;
+
+namespace {
+
+/// Time without new tasks for a worker that refused or did not answer a start.
+constexpr core::milliseconds kAvoidanceTime{1'500};
+
+}  // namespace
+
+awaitable<void> dispatcher::impl::StartRun(planned_run planned) {
+  const auto self = shared_from_this();
+  const auto monitor = planned.monitor;
+  const workflow::job* const job =
+      event_log.State().FindJob(planned.run.task.job);
+  if (job == nullptr || !IsAssignedTo(planned.run, *monitor) ||
+      monitor->removed) {
+    co_return;
+  }
+  if (IsFinal(job->phase)) {
+    // Cancelled before any order was sent.
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
+  tracked_run* tracked = monitor->runs.Find(planned.run);
+  if (tracked == nullptr) co_return;
+  // The capacity may have shrunk since the round that planned the run.
+  if (!monitor->worker.capacity.Holds(monitor->runs.Ordered() +
+                                      tracked->need)) {
+    spdlog::info("run_held_back run={} worker={}", Name(planned.run),
+                 monitor->worker.key.id.v);
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
+  monitor->runs.SetOrdered(*tracked);
+  start_order order{term,
+                    planned.run,
+                    job->spec.payload,
+                    NextLeaseEndMs(*monitor).value_or(0),
+                    {},
+                    planned.ticket};
+  order.checkpoint =
+      job->tasks[*job->FindTaskIndex(planned.run.task)].checkpoint;
+  monitor->wakeup.NotifyAll();
+  const worker_target to = TargetOf(*monitor);
+  const auto result =
+      co_await workers.Start(to, std::move(order), kOrderTimeout);
+  if (stopped || monitor->removed) co_return;
+  tracked = monitor->runs.Find(planned.run);
+  if (tracked == nullptr) co_return;
+  const auto* const done = std::get_if<order_done>(&result);
+  if (done != nullptr && !IsClockOfOtherIncarnation(*monitor, done->clock_ms)) {
+    UpdateClock(*monitor, done->clock_ms, reading_source::kAnswer);
+    tracked->resolved_after_poll = monitor->polls_sent;
+    tracked->started_at = clock.Now();
+    RecordStart(planned.run, *monitor);
+    if (monitor->suspected_run) Spawn(PollAfterStart(monitor));
+    co_return;
+  }
+  if (const auto* const refused = std::get_if<order_refused>(&result)) {
+    spdlog::info("run_refused run={} worker={} why={}", Name(planned.run),
+                 monitor->worker.key.id.v, Name(refused->reason));
+    if (refused->reason == refusal::kOldRun) {
+      // The worker had the run before; the next poll reports its state.
+      tracked->resolved_after_poll = monitor->polls_sent;
+      co_return;
+    }
+    if (refused->reason == refusal::kUnhealthy ||
+        refused->reason == refusal::kNoCapacity) {
+      monitor->avoid_until = clock.Now() + kAvoidanceTime;
+    }
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
+  if (std::holds_alternative<other_incarnation>(result)) {
+    std::string reason = "another incarnation refused a start";
+    co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
+                          std::move(reason));
+    co_return;
+  }
+  stats.orders_unanswered.Add();
+  ++load.starts_unconfirmed;
+  spdlog::info("run_unconfirmed run={} worker={}", Name(planned.run),
+               monitor->worker.key.id.v);
+  monitor->avoid_until = clock.Now() + kAvoidanceTime;
+  co_await ResolveStart(monitor, planned.run);
+}
+
+void dispatcher::impl::RecordStart(const workflow::run_id& run,
+                                   const worker_monitor& monitor) {
+  spdlog::info("run_started run={} worker={} born={}", Name(run),
+               monitor.worker.key.id.v, monitor.worker.key.incarnation);
+  stats.starts.Add();
+  ++load.starts;
+  NoteStarted(run.task.job);
+  const workflow::job* const job = event_log.State().FindJob(run.task.job);
+  const bool is_first = run.number == 1 && run.task.step == 0 &&
+                        run.task.index == 0 && run.task.occurrence == 0;
+  if (job == nullptr || !is_first || job->spec.repeat_count > 0) return;
+  const auto waited = clock.WallNow() - job->accepted_at;
+  stats.first_start.Add(static_cast<double>(waited) / 1000);
+}
+
+/// Polls to find out whether a start without an answer was carried out. If not,
+/// stops the run, so that a late start is refused.
+awaitable<void> dispatcher::impl::ResolveStart(
+    std::shared_ptr<worker_monitor> monitor, workflow::run_id run) {
+  co_await Poll(monitor, core::milliseconds(0));
+  if (stopped || monitor->removed) co_return;
+  const tracked_run* const tracked = monitor->runs.Find(run);
+  if (tracked == nullptr || tracked->resolved_after_poll) co_return;
+  co_await StopRun(monitor, run);
+}
+
+/// Sends stop orders for a run until the worker confirms, then polls for the
+/// end of the run.
+awaitable<void> dispatcher::impl::StopRun(
+    std::shared_ptr<worker_monitor> monitor, workflow::run_id run) {
+  const auto self = shared_from_this();
+  tracked_run* tracked = monitor->runs.Find(run);
+  if (tracked == nullptr || tracked->stopping) co_return;
+  monitor->runs.SetStopping(*tracked);
+  while (!stopped && !monitor->removed && monitor->runs.Contains(run)) {
+    const worker_target to = TargetOf(*monitor);
+    const stop_order order{term, run};
+    const auto result = co_await workers.Stop(to, order, kOrderTimeout);
+    if (stopped || monitor->removed) co_return;
+    if (std::holds_alternative<other_incarnation>(result)) {
+      std::string reason = "another incarnation refused a stop";
+      co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
+                            std::move(reason));
+      co_return;
+    }
+    // After any other refusal the worker has not stopped the run: it would
+    // still carry out a late start.
+    const auto* const refused = std::get_if<order_refused>(&result);
+    const bool is_old =
+        refused != nullptr && refused->reason == refusal::kOldRun;
+    if (std::holds_alternative<order_done>(result) || is_old) {
+      tracked = monitor->runs.Find(run);
+      if (tracked == nullptr) co_return;
+      tracked->resolved_after_poll = monitor->polls_sent;
+      monitor->wakeup.NotifyAll();
+      co_await Poll(monitor, core::milliseconds(0));
+      co_return;
+    }
+    co_await core::SleepFor(clock, kRetryPause);
+  }
+}
+
+/// Records an end until that succeeds or a later event has ended the run.
+awaitable<void> dispatcher::impl::RecordRunEnd(workflow::run_id run,
+                                               workflow::run_end ending) {
+  const auto self = shared_from_this();
+  while (!stopped && event_log.State().IsAssigned(run)) {
+    std::vector<workflow::event> events;
+    events.emplace_back(workflow::run_ended{run, ending, {}});
+    const auto recorded = co_await Record(std::move(events));
+    if (recorded) co_return;
+    spdlog::warn("end_not_recorded run={} error={}", Name(run),
+                 core::Describe(recorded.error()));
+    co_await core::SleepFor(clock, kRetryPause);
+  }
+}
+
+/// Polls soon after a start that may crash the worker, so that other tasks need
+/// not wait for the next report.
+awaitable<void> dispatcher::impl::PollAfterStart(
+    std::shared_ptr<worker_monitor> monitor) {
+  const auto self = shared_from_this();
+  co_await core::SleepFor(clock, kStartTime);
+  if (stopped || monitor->removed) co_return;
+  co_await Poll(monitor, core::milliseconds(0));
+}
+
+}  // namespace mangoplank::dispatch
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -1,6 +1,8 @@
 #ifndef MANGOPLANK_SRC_DISPATCH_RUN_TABLE_H_
 #define MANGOPLANK_SRC_DISPATCH_RUN_TABLE_H_
 
+#include <fmt/format.h>
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +13,12 @@
 
 namespace mangoplank::dispatch {
 
+/// @return the name of a run in logs.
+inline std::string Name(const workflow::run_id& run) {
+  return fmt::format("{}.{}.{}.{}/{}", run.task.job, run.task.occurrence,
+                     run.task.step, run.task.index, run.number);
+}
+
 /// A run that is being started on a worker or is active there.
 struct tracked_run {
   core::resources need;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -6,7 +6,7 @@
 
 #include "dispatch/dispatcher_impl.h"
 
-/// Orders to one worker, and its reports.
+/// Polls of one worker, its lease and its reports.
 namespace mangoplank::dispatch {
 
 using core::awaitable;
@@ -19,30 +19,17 @@
 /// Delay before the ends of a worker without runs are acknowledged, unless
 /// another poll is due first.
 constexpr core::milliseconds kAckDelay{200};
-/// Time allowed for an answer beyond the wait of the order.
-constexpr core::milliseconds kOrderTimeout{800};
 /// Time allowed for an answer while a report waits for it, which must itself be
 /// answered within a second.
 constexpr core::milliseconds kConfirmationTimeout{400};
 /// Longest time from the reading of a worker's clock to its receipt in an
 /// answer.
 constexpr core::milliseconds kMaxReadingAge = kPollWait + kOrderTimeout;
-/// Pause after an order without an answer.
-constexpr core::milliseconds kRetryPause{150};
-/// Time without new tasks for a worker that refused or did not answer a start.
-constexpr core::milliseconds kAvoidanceTime{1'500};
 /// Allowed difference of two readings of one clock in addition to its drift.
 constexpr core::milliseconds kClockSlack{2'000};
-/// A run that is at work for this long does not crash its worker.
-constexpr core::milliseconds kProvenTime{30'000};
 /// Maximum number of ends in one report; a full list may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
-std::string Name(const workflow::run_id& run) {
-  return fmt::format("{}.{}.{}.{}/{}", run.task.job, run.task.occurrence,
-                     run.task.step, run.task.index, run.number);
-}
-
 /// @return the need of a run's step; zero if its job is not known.
 core::resources NeedOfRun(const workflow::state& state,
                           const workflow::run_id& run) {
@@ -291,234 +278,6 @@
   return events;
 }
 
-awaitable<void> dispatcher::impl::StartRun(planned_run planned) {
-  const auto self = shared_from_this();
-  const auto monitor = planned.monitor;
-  const workflow::job* const job =
-      event_log.State().FindJob(planned.run.task.job);
-  if (job == nullptr || !IsAssignedTo(planned.run, *monitor) ||
-      monitor->removed) {
-    co_return;
-  }
-  if (IsFinal(job->phase)) {
-    // Cancelled before any order was sent.
-    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
-    co_return;
-  }
-  tracked_run* tracked = monitor->runs.Find(planned.run);
-  if (tracked == nullptr) co_return;
-  // The capacity may have shrunk since the round that planned the run.
-  if (!monitor->worker.capacity.Holds(monitor->runs.Ordered() +
-                                      tracked->need)) {
-    spdlog::info("run_held_back run={} worker={}", Name(planned.run),
-                 monitor->worker.key.id.v);
-    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
-    co_return;
-  }
-  monitor->runs.SetOrdered(*tracked);
-  start_order order{term,
-                    planned.run,
-                    job->spec.payload,
-                    NextLeaseEndMs(*monitor).value_or(0),
-                    {},
-                    planned.ticket};
-  order.checkpoint =
-      job->tasks[*job->FindTaskIndex(planned.run.task)].checkpoint;
-  monitor->wakeup.NotifyAll();
-  const worker_target to = TargetOf(*monitor);
-  const auto result =
-      co_await workers.Start(to, std::move(order), kOrderTimeout);
-  if (stopped || monitor->removed) co_return;
-  tracked = monitor->runs.Find(planned.run);
-  if (tracked == nullptr) co_return;
-  const auto* const done = std::get_if<order_done>(&result);
-  if (done != nullptr && !IsClockOfOtherIncarnation(*monitor, done->clock_ms)) {
-    UpdateClock(*monitor, done->clock_ms, reading_source::kAnswer);
-    tracked->resolved_after_poll = monitor->polls_sent;
-    tracked->started_at = clock.Now();
-    RecordStart(planned.run, *monitor);
-    if (monitor->suspected_run) Spawn(PollAfterStart(monitor));
-    co_return;
-  }
-  if (const auto* const refused = std::get_if<order_refused>(&result)) {
-    spdlog::info("run_refused run={} worker={} why={}", Name(planned.run),
-                 monitor->worker.key.id.v, Name(refused->reason));
-    if (refused->reason == refusal::kOldRun) {
-      // The worker had the run before; the next poll reports its state.
-      tracked->resolved_after_poll = monitor->polls_sent;
-      co_return;
-    }
-    if (refused->reason == refusal::kUnhealthy ||
-        refused->reason == refusal::kNoCapacity) {
-      monitor->avoid_until = clock.Now() + kAvoidanceTime;
-    }
-    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
-    co_return;
-  }
-  if (std::holds_alternative<other_incarnation>(result)) {
-    std::string reason = "another incarnation refused a start";
-    co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
-                          std::move(reason));
-    co_return;
-  }
-  stats.orders_unanswered.Add();
-  ++load.starts_unconfirmed;
-  spdlog::info("run_unconfirmed run={} worker={}", Name(planned.run),
-               monitor->worker.key.id.v);
-  monitor->avoid_until = clock.Now() + kAvoidanceTime;
-  co_await ResolveStart(monitor, planned.run);
-}
-
-void dispatcher::impl::RecordStart(const workflow::run_id& run,
-                                   const worker_monitor& monitor) {
-  spdlog::info("run_started run={} worker={} born={}", Name(run),
-               monitor.worker.key.id.v, monitor.worker.key.incarnation);
-  stats.starts.Add();
-  ++load.starts;
-  NoteStarted(run.task.job);
-  const workflow::job* const job = event_log.State().FindJob(run.task.job);
-  const bool is_first = run.number == 1 && run.task.step == 0 &&
-                        run.task.index == 0 && run.task.occurrence == 0;
-  if (job == nullptr || !is_first || job->spec.repeat_count > 0) return;
-  const auto waited = clock.WallNow() - job->accepted_at;
-  stats.first_start.Add(static_cast<double>(waited) / 1000);
-}
-
-/// Polls to find out whether a start without an answer was carried out. If not,
-/// stops the run, so that a late start is refused.
-awaitable<void> dispatcher::impl::ResolveStart(
-    std::shared_ptr<worker_monitor> monitor, workflow::run_id run) {
-  co_await Poll(monitor, core::milliseconds(0));
-  if (stopped || monitor->removed) co_return;
-  const tracked_run* const tracked = monitor->runs.Find(run);
-  if (tracked == nullptr || tracked->resolved_after_poll) co_return;
-  co_await StopRun(monitor, run);
-}
-
-/// Sends stop orders for a run until the worker confirms, then polls for the
-/// end of the run.
-awaitable<void> dispatcher::impl::StopRun(
-    std::shared_ptr<worker_monitor> monitor, workflow::run_id run) {
-  const auto self = shared_from_this();
-  tracked_run* tracked = monitor->runs.Find(run);
-  if (tracked == nullptr || tracked->stopping) co_return;
-  monitor->runs.SetStopping(*tracked);
-  while (!stopped && !monitor->removed && monitor->runs.Contains(run)) {
-    const worker_target to = TargetOf(*monitor);
-    const stop_order order{term, run};
-    const auto result = co_await workers.Stop(to, order, kOrderTimeout);
-    if (stopped || monitor->removed) co_return;
-    if (std::holds_alternative<other_incarnation>(result)) {
-      std::string reason = "another incarnation refused a stop";
-      co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
-                            std::move(reason));
-      co_return;
-    }
-    // After any other refusal the worker has not stopped the run: it would
-    // still carry out a late start.
-    const auto* const refused = std::get_if<order_refused>(&result);
-    const bool is_old =
-        refused != nullptr && refused->reason == refusal::kOldRun;
-    if (std::holds_alternative<order_done>(result) || is_old) {
-      tracked = monitor->runs.Find(run);
-      if (tracked == nullptr) co_return;
-      tracked->resolved_after_poll = monitor->polls_sent;
-      monitor->wakeup.NotifyAll();
-      co_await Poll(monitor, core::milliseconds(0));
-      co_return;
-    }
-    co_await core::SleepFor(clock, kRetryPause);
-  }
-}
-
-/// Records an end until that succeeds or a later event has ended the run.
-awaitable<void> dispatcher::impl::RecordRunEnd(workflow::run_id run,
-                                               workflow::run_end ending) {
-  const auto self = shared_from_this();
-  while (!stopped && event_log.State().IsAssigned(run)) {
-    std::vector<workflow::event> events;
-    events.emplace_back(workflow::run_ended{run, ending, {}});
-    const auto recorded = co_await Record(std::move(events));
-    if (recorded) co_return;
-    spdlog::warn("end_not_recorded run={} error={}", Name(run),
-                 core::Describe(recorded.error()));
-    co_await core::SleepFor(clock, kRetryPause);
-  }
-}
-
-/// @return whether the worker was heard of that long after the run had started.
-bool dispatcher::impl::HasSurvivedStart(const worker_monitor& monitor,
-                                        const tracked_run& tracked,
-                                        core::milliseconds time) const {
-  return tracked.started_at && monitor.last_heard >= *tracked.started_at + time;
-}
-
-/// Attributes the loss of a worker that was not draining to the runs that it
-/// had, unless they had been at work for long. An order may also have reached a
-/// worker that had crashed before.
-void dispatcher::impl::OnWorkerLost(worker_monitor& monitor, worker_loss loss) {
-  if (monitor.worker.draining) return;
-  stats.LostWorkers(Name(loss)).Add();
-  std::size_t starting = 0;
-  std::string first;
-  for (const auto& [run, tracked] : monitor.runs.Runs()) {
-    if (!tracked.ordered) continue;
-    const bool survived = HasSurvivedStart(monitor, tracked, kStartTime);
-    if (!survived && starting++ == 0) first = Name(run);
-    auto ending = workflow::run_end::kCrashedAtStart;
-    if (HasSurvivedStart(monitor, tracked, kProvenTime)) {
-      ending = workflow::run_end::kLost;
-    } else if (loss == worker_loss::kSilent) {
-      ending = workflow::run_end::kUnreachable;
-    } else if (survived) {
-      ending = workflow::run_end::kCrashed;
-    }
-    monitor.runs.Find(run)->loss = ending;
-  }
-  spdlog::warn(
-      "worker_lost worker={} born={} evidence={} runs={} starting={} "
-      "first_starting={}",
-      monitor.worker.key.id.v, monitor.worker.key.incarnation, Name(loss),
-      monitor.runs.Size(), starting, first);
-}
-
-/// Polls soon after a start that may crash the worker, so that other tasks need
-/// not wait for the next report.
-awaitable<void> dispatcher::impl::PollAfterStart(
-    std::shared_ptr<worker_monitor> monitor) {
-  const auto self = shared_from_this();
-  co_await core::SleepFor(clock, kStartTime);
-  if (stopped || monitor->removed) co_return;
-  co_await Poll(monitor, core::milliseconds(0));
-}
-
-awaitable<void> dispatcher::impl::RemoveWorker(
-    std::shared_ptr<worker_monitor> monitor, worker_loss loss,
-    std::string reason) {
-  const auto self = shared_from_this();
-  if (monitor->removed || std::exchange(monitor->removing, true)) co_return;
-  OnWorkerLost(*monitor, loss);
-  stats.workers_removed.Add();
-  spdlog::warn("worker_removed worker={} born={} reason=\"{}\" runs={}",
-               monitor->worker.key.id.v, monitor->worker.key.incarnation,
-               reason, monitor->runs.Size());
-  while (!stopped && !monitor->removed) {
-    std::vector<workflow::event> events;
-    for (const auto& [run, tracked] : monitor->runs.Runs()) {
-      if (!tracked.loss || !event_log.State().IsAssigned(run)) continue;
-      spdlog::info("run_lost run={} worker={} how={}", Name(run),
-                   monitor->worker.key.id.v, Name(*tracked.loss));
-      events.emplace_back(workflow::run_ended{run, *tracked.loss, {}});
-    }
-    events.emplace_back(workflow::worker_removed{monitor->worker.key});
-    const auto recorded = co_await Record(std::move(events));
-    if (recorded) co_return;
-    spdlog::warn("removal_not_recorded worker={} error={}",
-                 monitor->worker.key.id.v, core::Describe(recorded.error()));
-    co_await core::SleepFor(clock, kRetryPause);
-  }
-}
-
 /// @return the monitor of this incarnation, or null.
 std::shared_ptr<worker_monitor> dispatcher::impl::FindMonitor(
     const workflow::worker_key& worker) const {
@@ -544,16 +303,4 @@
       !monitor->removed;
 }
 
-awaitable<bool> dispatcher::impl::RemoveUnconfirmed(
-    workflow::worker_key worker) {
-  const auto monitor = FindMonitor(worker);
-  if (monitor == nullptr || monitor->removed || monitor->synced ||
-      clock.Now() <= monitor->lease_end) {
-    co_return false;
-  }
-  std::string reason = "never answered, and an earlier incarnation reports";
-  co_await RemoveWorker(monitor, worker_loss::kSilent, std::move(reason));
-  co_return monitor->removed;
-}
-
 }  // namespace mangoplank::dispatch
