Log what waiting jobs wait for

Conclusion: hypotheses 1, 2 and 4 can be told apart; 3 shows as a job with tasks that neither wait nor are held.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -18,6 +18,8 @@
 
 constexpr core::milliseconds kPruneInterval{5'000};
 constexpr core::milliseconds kReportInterval{1'000};
+/// Interval of the lines on jobs that wait.
+constexpr core::milliseconds kWaitReportInterval{5'000};
 /// Interval of the timer whose delay shows how long work waits for its turn.
 constexpr core::milliseconds kLoopDelayInterval{50};
 /// Consecutive failed jobs after which a worker is quarantined; a single job
@@ -348,6 +350,14 @@
   load_state state;
   state.workers = monitors.size();
   state.waiting_jobs = waiting_jobs.size();
+  for (const auto& [id, monitor] : monitors) {
+    if (monitor->unanswered) {
+      ++state.unanswering_workers;
+      state.held_runs += monitor->runs.Size();
+    } else if (clock.Now() < monitor->avoid_until) {
+      ++state.avoided_workers;
+    }
+  }
   for (const auto& [name, pool] : usable_pools) {
     state.usable_workers += pool.workers.size();
     for (const usable_worker& worker : pool.workers) {
@@ -368,6 +378,7 @@
 awaitable<void> dispatcher::impl::ReportLoop() {
   const auto self = shared_from_this();
   core::time_point begin = clock.Now();
+  core::time_point waits_due = begin + kWaitReportInterval;
   while (!stopped) {
     const core::time_point due = clock.Now() + kLoopDelayInterval;
     co_await core::SleepUntil(clock, due);
@@ -380,6 +391,10 @@
     LogLoad(load, LoadState(), now - begin);
     load = {};
     begin = now;
+    if (now < waits_due) continue;
+    LogUnansweringWorkers();
+    LogWaitingJobs();
+    waits_due = now + kWaitReportInterval;
   }
 }
 
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -62,6 +62,8 @@
   std::uint64_t reports_received = 0;
   /// Whether the last poll had no answer.
   bool unanswered = false;
+  /// Time of the first of the polls without an answer since the last one.
+  core::time_point unanswered_since{};
   /// The worker's steady clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_read_at;
@@ -117,6 +119,14 @@
   void NoteStarted(const std::string& job);
   core::awaitable<void> RecordStartedJobs();
 
+  // wait_report.cpp: log lines that tell what jobs wait for.
+  void LogUnansweringWorkers() const;
+  void LogWaitingJobs() const;
+  void LogWaitingStep(const workflow::job& job, const waiting_job& waiting,
+                      const waiting_tasks& tasks) const;
+  std::size_t CountHeldTasks(const workflow::job& job,
+                             const waiting_tasks& tasks) const;
+
   // worker_monitor.cpp: polls of one worker, its lease and its reports.
   core::awaitable<void> MonitorWorker(std::shared_ptr<worker_monitor> monitor);
   core::awaitable<bool> Poll(std::shared_ptr<worker_monitor> monitor,
--- a/src/dispatch/load_report.h
+++ b/src/dispatch/load_report.h
@@ -36,6 +36,11 @@
 struct load_state {
   std::size_t workers = 0;
   std::size_t usable_workers = 0;
+  /// Workers that did not answer the last poll, and their runs.
+  std::size_t unanswering_workers = 0;
+  std::size_t held_runs = 0;
+  /// Workers that answer and get no tasks for a time.
+  std::size_t avoided_workers = 0;
   std::size_t waiting_jobs = 0;
   std::size_t pending_checks = 0;
   /// Processors of usable workers, in thousandths.
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -158,7 +158,9 @@
     co_return co_await OnReport(monitor, poll_number, overtaken,
                                 std::move(*report));
   }
-  monitor->unanswered = true;
+  if (!std::exchange(monitor->unanswered, true)) {
+    monitor->unanswered_since = clock.Now();
+  }
   ++load.polls_unanswered;
   if (std::holds_alternative<other_incarnation>(result)) {
     std::string reason = "another incarnation answers at its address";
