Let the mute workers of LeaseTest leave open polls unanswered

Cause: AnEndListedAfterTheLeaseDoesNotFinishTheTask failed for another reason than its own: the fake answered the poll that was open when the worker fell mute, with the end in it. Change: a worker that falls mute answers no order, also none that it has received before.

--- a/src/dispatch/lease_test.cpp
+++ b/src/dispatch/lease_test.cpp
@@ -21,6 +21,11 @@
       RunFor(kHeartbeatInterval);
     }
   }
+  /// From now on the worker answers no order, also none that it has received.
+  void Mute(const core::worker_id& worker) {
+    workers_.silent.insert(worker);
+    ++workers_.interruptions[worker];
+  }
   core::worker_id WorkerOf(const workflow::run_id& run) const {
     const workflow::worker_key* const worker =
         event_log_.state.FindAssignedWorker(run);
@@ -55,7 +60,7 @@
   Submit("j", {Step(1, 1'000)}, queue_);
   RunWithHeartbeats(seconds(1));
   const core::worker_id mute = WorkerOf(RunOf("j", 0, 1));
-  workers_.silent.insert(mute);
+  Mute(mute);
   const std::int64_t lease_end = LastLeaseEndMs(mute);
   RunUntilStarted("j", 1);
   ASSERT_EQ(CountStarts("j"), 2u);
@@ -74,7 +79,7 @@
   Submit("j", {gang}, queue_);
   RunWithHeartbeats(seconds(1));
   ASSERT_EQ(CountStarts("j"), 3u);
-  workers_.silent.insert(WorkerOf(RunOf("j", 0, 1)));
+  Mute(WorkerOf(RunOf("j", 0, 1)));
   for (std::uint32_t i = 1; i < 3; ++i) {
     workers_.End(WorkerOf(RunOf("j", i, 1)), RunOf("j", i, 1),
                  run_end::kGangMemberEnded);
@@ -93,7 +98,7 @@
   AddWorker("w2");
   Submit("j", {Step(1, 1'000)}, queue_);
   event_log_.Apply(workflow::run_assigned{RunOf("j", 0, 1), w1});
-  workers_.silent.insert({"w1"});
+  Mute({"w1"});
   const core::time_point term_start = clock_.Now();
   BeginTerm();
   RunUntilStarted("j", 0);
@@ -109,7 +114,7 @@
   AddWorker("w1");
   BeginTerm();
   RunWithHeartbeats(seconds(1));
-  workers_.silent.insert({"w1"});
+  Mute({"w1"});
   Submit("j", {Step(1, 1'000)}, queue_);
   RunWithHeartbeats(seconds(1));
   ASSERT_EQ(CountStarts("j"), 1u);
@@ -132,7 +137,7 @@
   Submit("j", {Step(1, 1'000)}, queue_);
   RunWithHeartbeats(seconds(1));
   const core::worker_id mute = WorkerOf(RunOf("j", 0, 1));
-  workers_.silent.insert(mute);
+  Mute(mute);
   workers_.End(mute, RunOf("j", 0, 1), run_end::kDone);
   RunUntilStarted("j", 1);
   ASSERT_TRUE(event_log_.state.IsAssigned(RunOf("j", 0, 2)));
@@ -157,7 +162,7 @@
   for (std::uint32_t run = 1; run <= kLapses; ++run) {
     const core::worker_id worker = WorkerOf(RunOf("j", 0, run));
     ASSERT_FALSE(worker.v.empty()) << "run " << run;
-    workers_.silent.insert(worker);
+    Mute(worker);
     RunWithHeartbeats(kLeaseTime);
     workers_.states[worker].running.clear();
     workers_.silent.clear();
@@ -174,7 +179,7 @@
   BeginTerm();
   Submit("j", {Step(1, 1'000)}, queue_);
   RunWithHeartbeats(seconds(1));
-  workers_.silent.insert({"w1"});
+  Mute({"w1"});
   event_log_.Apply(workflow::job_cancelled{"j"});
   RunWithHeartbeats(kLeaseTime);
   EXPECT_FALSE(event_log_.state.IsAssigned(RunOf("j", 0, 1)));
@@ -193,7 +198,7 @@
   Submit("j", {Step(1, 1'000)}, queue_);
   RunWithHeartbeats(seconds(1));
   const core::worker_id lost = WorkerOf(RunOf("j", 0, 1));
-  workers_.silent.insert(lost);
+  Mute(lost);
   const workflow::worker_key other{{lost.v == "w1" ? "w2" : "w1"}, 1};
   for (int i = 0; i < 20; ++i) {
     dispatcher_->OnHeartbeat(other, workers_.ClockMs());
