End runs with their lease when a worker answers no order

Callers saw: accepted jobs, mostly gangs, that were not started again for as long as one of their workers answered no order (LOST). Cause: life on one channel was taken for life on another. The only end of such a run was the worker's removal, which needs its silence; heartbeats, sent on another path, renewed last_heard and postponed it for good. A gang starts only when all members wait, so that one such run held all of them. Change: MonitorWorker ends the runs of a worker once its lease has ended by all orders sent, a poll sent after that had no answer, and a heartbeat has arrived since; the worker stays registered. Confirmed runs end as lapsed, others as not started; neither counts as an attempt or a crash. The last known progress is kept. Why no second run can be at work: docs/platform.md. Conclusion: the lease of the order channel decides, heartbeats decide only whether the worker is there.

--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -21,6 +21,9 @@
         workers_removed(
             registry.Counter("mangoplank_workflow_workers_removed_total",
                              "Workers given up by the leader")),
+        leases_ended(registry.Counter(
+            "mangoplank_workflow_leases_ended_total",
+            "Leases that ended with runs on workers that sent heartbeats")),
         preempted(registry.Counter("mangoplank_workflow_preempted_total",
                                    "Runs stopped for a more urgent gang")),
         eligibility_checks(
@@ -53,6 +56,7 @@
   metrics::counter& orders_unanswered;
   metrics::counter& starts;
   metrics::counter& workers_removed;
+  metrics::counter& leases_ended;
   metrics::counter& preempted;
   metrics::counter& eligibility_checks;
   metrics::gauge& active_jobs;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -160,13 +160,15 @@
   core::awaitable<void> RecordRunEnd(workflow::run_id run,
                                      workflow::run_end ending);
 
-  // worker_loss.cpp: ends of workers, and what they mean for their runs.
+  // worker_loss.cpp: ends of workers and leases, and what they mean for runs.
   bool HasSurvivedStart(const worker_monitor& monitor,
                         const tracked_run& tracked,
                         core::milliseconds time) const;
   void OnWorkerLost(worker_monitor& monitor, worker_loss loss);
   core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
                                      worker_loss loss, std::string reason);
+  workflow::run_end EndingAfterLease(const tracked_run& tracked) const;
+  core::awaitable<void> EndLapsedRuns(std::shared_ptr<worker_monitor> monitor);
   core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
 
   // planner.cpp: rounds, and the order of the waiting jobs.
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -2,7 +2,7 @@
 
 #include "dispatch/dispatcher_impl.h"
 
-/// Ends of workers, and what they mean for their runs.
+/// Ends of workers and of their leases, and what they mean for the runs there.
 namespace mangoplank::dispatch {
 
 using core::awaitable;
@@ -77,6 +77,54 @@
   }
 }
 
+/// @return how a run ends whose worker's lease has ended without an answer.
+workflow::run_end dispatcher::impl::EndingAfterLease(
+    const tracked_run& tracked) const {
+  if (tracked.loss) return *tracked.loss;
+  return tracked.started_at ? workflow::run_end::kLeaseExpired
+                            : workflow::run_end::kNotStarted;
+}
+
+/// Ends the runs of a worker that sends heartbeats and answers no order. Its
+/// lease has ended by all orders that were sent, so that it has killed what it
+/// ran and refuses the starts that are still on their way. The worker stays
+/// registered: it may answer again.
+awaitable<void> dispatcher::impl::EndLapsedRuns(
+    std::shared_ptr<worker_monitor> monitor) {
+  const auto self = shared_from_this();
+  std::vector<workflow::event> events;
+  std::vector<workflow::run_id> unrecorded;
+  for (const auto& [run, tracked] : monitor->runs.Runs()) {
+    if (!tracked.ordered) continue;
+    if (!event_log.State().IsAssigned(run)) {
+      unrecorded.push_back(run);
+      continue;
+    }
+    const workflow::run_end ending = EndingAfterLease(tracked);
+    spdlog::info("run_lapsed run={} worker={} how={}", Name(run),
+                 monitor->worker.key.id.v, Name(ending));
+    events.emplace_back(workflow::run_ended{run, ending, tracked.checkpoint});
+  }
+  for (const workflow::run_id& run : unrecorded) {
+    monitor->runs.Remove(run);
+    run_monitors.erase(run);
+    MarkWaiting(run.task.job);
+  }
+  if (events.empty()) co_return;
+  stats.leases_ended.Add();
+  spdlog::warn("worker_lease_ended worker={} born={} unanswered_ms={} runs={}",
+               monitor->worker.key.id.v, monitor->worker.key.incarnation,
+               std::chrono::duration_cast<core::milliseconds>(
+                   clock.Now() - monitor->unanswered_since)
+                   .count(),
+               events.size());
+  const auto recorded = co_await Record(std::move(events));
+  if (!recorded) {
+    spdlog::warn("lapses_not_recorded worker={} error={}",
+                 monitor->worker.key.id.v, core::Describe(recorded.error()));
+  }
+}
+
 awaitable<bool> dispatcher::impl::RemoveUnconfirmed(
     workflow::worker_key worker) {
   const auto monitor = FindMonitor(worker);
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -118,6 +118,7 @@
     }
     const bool waits =
         monitor->synced && !monitor->unanswered && !monitor->runs.IsEmpty();
+    const bool had_lapsed = clock.Now() > monitor->lease_end;
     const bool answered =
         co_await Poll(monitor, waits ? kPollWait : core::milliseconds(0));
     if (stopped || monitor->removed) co_return;
@@ -129,6 +130,13 @@
       co_await RemoveWorker(monitor, worker_loss::kSilent, std::move(reason));
       co_return;
     }
+    // A heartbeat decides only whether the worker is still there; its runs end
+    // with their lease. One that was sent after the lease shows that they were
+    // not lost in a crash.
+    if (had_lapsed && monitor->last_heard > monitor->lease_end) {
+      co_await EndLapsedRuns(monitor);
+      if (stopped || monitor->removed) co_return;
+    }
     co_await core::SleepFor(clock, kRetryPause);
   }
 }
