Resume the members of a gang from one checkpoint

Cause: the state kept a checkpoint for each task. A member that lapsed or was lost ended without one, so that the members of the next run carried different values, though all must carry the same. Change: the checkpoint that a member ends with is kept for all of them. A lapsed member of a gang passes none: the others have listed later ones. Evidence: WorkflowStateTest.AGangResumesFromOneCheckpoint failed before ("third" and "" in place of "half"). Conclusion: the value of any member is valid for its gang.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -183,6 +183,7 @@
   void On(const jobs_pruned& event);
   void FinishTask(job& job, const task_id& id);
   void EndRun(job& job, const run_ended& event);
+  void KeepCheckpoint(job& job, const run_ended& event);
   void CountFailure(job& job, const run_id& run);
   void EndRuns(const worker_key& worker);
 
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -12,6 +12,11 @@
 /// A run that is at work for this long does not crash its worker.
 constexpr core::milliseconds kProvenTime{30'000};
 
+bool IsGangMember(const workflow::state& state, const workflow::run_id& run) {
+  const workflow::job* const job = state.FindJob(run.task.job);
+  return job != nullptr && job->spec.steps[run.task.step].gang;
+}
+
 }  // namespace
 
 /// @return whether the worker was heard of that long after the run had started.
@@ -103,7 +108,11 @@
     const workflow::run_end ending = EndingAfterLease(tracked);
     spdlog::info("run_lapsed run={} worker={} how={}", Name(run),
                  monitor->worker.key.id.v, Name(ending));
-    events.emplace_back(workflow::run_ended{run, ending, tracked.checkpoint});
+    // The other members of a gang have listed a later checkpoint with their
+    // ends.
+    const bool is_gang = IsGangMember(event_log.State(), run);
+    events.emplace_back(workflow::run_ended{
+        run, ending, is_gang ? std::string() : tracked.checkpoint});
   }
   for (const workflow::run_id& run : unrecorded) {
     monitor->runs.Remove(run);
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -183,6 +183,18 @@
   DropTasks(job);
 }
 
+/// The checkpoint of one member of a gang is valid for all of them, and they
+/// resume together only from the same one.
+void state::KeepCheckpoint(job& job, const run_ended& event) {
+  const step& step = job.spec.steps[event.run.task.step];
+  task_id id = event.run.task;
+  const std::uint32_t first = step.gang ? 0 : id.index;
+  const std::uint32_t last = step.gang ? step.count - 1 : id.index;
+  for (id.index = first; id.index <= last; ++id.index) {
+    job.tasks[*job.FindTaskIndex(id)].checkpoint = event.checkpoint;
+  }
+}
+
 void state::EndRun(job& job, const run_ended& event) {
   const step& step = job.spec.steps[event.run.task.step];
   task& task = job.tasks[*job.FindTaskIndex(event.run.task)];
@@ -191,7 +203,7 @@
   }
   task.worker = {};
   task.phase = task_phase::kWaiting;
-  if (!event.checkpoint.empty()) task.checkpoint = event.checkpoint;
+  if (!event.checkpoint.empty()) KeepCheckpoint(job, event);
   if (IsSuspicious(event.ending)) return CountLoss(job, task, event.ending);
   if (HadStarted(event.ending)) {
     task.suspected = false;
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -230,6 +230,24 @@
   EXPECT_EQ(s.FindJob("j")->phase, job_phase::kFailed);
 }
 
+// Guards against a gang whose members resume from different checkpoints, since
+// one of them ended without one: all must carry the same.
+TEST(WorkflowStateTest, AGangResumesFromOneCheckpoint) {
+  step gang;
+  gang.count = 3;
+  gang.gang = gang.checkpointing = true;
+  state s = MakeState({gang});
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    s.Apply(run_assigned{RunOf(0, i, 1), Key("w1", 1)});
+  }
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kGangMemberEnded, "third"});
+  s.Apply(run_ended{RunOf(0, 1, 1), run_end::kGangMemberEnded, "half"});
+  s.Apply(run_ended{RunOf(0, 2, 1), run_end::kLeaseExpired, ""});
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(TaskOf(s, RunOf(0, i, 1)).checkpoint, "half") << i;
+  }
+}
+
 // Guards against gangs whose members succeed separately, or whose failures are
 // counted per member.
 TEST(WorkflowStateTest, AGangSucceedsAndFailsAsAWhole) {
