--- a/src/consensus/fake_cluster.h
+++ b/src/consensus/fake_cluster.h
@@ -288,6 +288,8 @@
 /// A member with its disk. Its node, state machine and links end together.
 struct fake_member {
   member info;
+  /// Has lost its disk once, so it starts with `join`.
+  bool joins = false;
   std::shared_ptr<fake_disk> disk = std::make_shared<fake_disk>();
   std::unique_ptr<skewed_clock> clock;
   std::unique_ptr<consensus::transport> transport;
@@ -349,6 +351,10 @@
     m.machine->on_apply = on_apply;
     node_settings s = base;
     s.self = m.info.id;
+    if (m.joins) {
+      s.create = false;
+      s.join = true;
+    }
     m.node = std::make_unique<consensus::node>(s, context.get_executor(),
                                                *m.clock, *m.transport, *m.disk,
                                                *m.runner, *m.machine, random());
@@ -365,6 +371,12 @@
     EndProcess(i);
     members[i]->disk = members[i]->disk->AfterCrash(random);
   }
+  /// Ends a member and replaces its disk by an empty one.
+  void LoseDisk(std::size_t i) {
+    Crash(i);
+    members[i]->disk = std::make_shared<fake_disk>();
+    members[i]->joins = true;
+  }
   /// Ends a member as a killed process does: its files stay as they are, also
   /// what is not synced. Objects that its tasks still refer to are kept until
   /// the end of the test.
@@ -379,9 +391,11 @@
     const auto files = std::make_shared<fake_disk>(*m.disk);
     files->calls_left = UINT64_MAX;
     const member info = m.info;
+    const bool joins = m.joins;
     ended_members_.push_back(
         std::exchange(members[i], std::make_unique<fake_member>()));
     members[i]->info = info;
+    members[i]->joins = joins;
     members[i]->disk = files;
   }
 
