Log a member that answers its leader and takes no entries

Cause: heartbeats match any log, so a member that gets nothing else keeps its link, and no line tells what the leader had sent it. A member that does not answer is not reported. Conclusion: the next case can be traced from the leader's log.

--- a/src/consensus/lease.cpp
+++ b/src/consensus/lease.cpp
@@ -1,3 +1,8 @@
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <string>
 #include <utility>
 
 #include "consensus/node_impl.h"
@@ -10,6 +15,24 @@
 // Fraction of the election timeout for which a lease is valid. The rest covers
 // a difference of 5% between the rates of two clocks.
 constexpr double kLeaseFactor = 0.9;
+// A member that answers and lacks entries takes some of them within a round
+// trip and a sync. Elections and slow syncs take less than two timeouts.
+constexpr int kStallTimeouts = 2;
+
+std::string DescribeProgress(const peer& peer) {
+  const std::string snapshot =
+      peer.sending_snapshot
+          ? fmt::format("snapshot {} offset {} chunk in flight {}",
+                        peer.sending_snapshot->revision, peer.next_chunk_offset,
+                        peer.chunk_in_flight)
+          : "no snapshot";
+  const std::string probe =
+      peer.probe_revision ? std::to_string(*peer.probe_revision) : "none";
+  return fmt::format(
+      "match {} next {} probing {} probe {} batches in flight {}, {}",
+      peer.match_revision, peer.next_revision, peer.probing, probe,
+      peer.in_flight.size(), snapshot);
+}
 
 }  // namespace
 
@@ -22,6 +45,7 @@
       co_return;
     }
     BeginHeartbeatRound(l);
+    ReportStalledPeers();
     const auto next = clock.Now() + settings.heartbeat_interval;
     while (!ended && IsLeader() && hard_state.term == term &&
            clock.Now() < next) {
@@ -30,6 +54,24 @@
   }
 }
 
+void node::impl::ReportStalledPeers() {
+  const core::time_point now = clock.Now();
+  const core::duration limit = kStallTimeouts * settings.election_timeout;
+  for (const auto& [id, p] : peers) {
+    const bool answers = now < p->last_contact + settings.election_timeout;
+    if (!answers || p->match_revision >= committed) p->last_progress = now;
+    const core::time_point since =
+        std::max(p->last_progress, p->last_stall_report);
+    if (now < since + limit) continue;
+    p->last_stall_report = now;
+    const auto stalled_ms =
+        std::chrono::duration_cast<core::milliseconds>(now - p->last_progress);
+    spdlog::warn("{}: member {} answers and takes no entries for {} ms: {}",
+                 settings.self.v, id.v, stalled_ms.count(),
+                 DescribeProgress(*p));
+  }
+}
+
 void node::impl::BeginHeartbeatRound(leader_role& leader) {
   ++leader.round;
   leader.round_starts.emplace_back(leader.round, clock.Now());
--- a/src/consensus/lost_disk_schedule_test.cpp
+++ b/src/consensus/lost_disk_schedule_test.cpp
@@ -219,8 +219,7 @@
     if (s.members.revision > s.committed) return false;
     for (const member& m : s.members.members) {
       if (!m.voter || m.disk_id == 0) return false;
-      if (!cluster_.At(leader).IsCaughtUp(m.id) &&
-          m.id != MemberId(leader)) {
+      if (!cluster_.At(leader).IsCaughtUp(m.id) && m.id != MemberId(leader)) {
         return false;
       }
     }
@@ -300,6 +299,7 @@
   if (std::getenv("MANGOPLANK_TRACE") != nullptr) spdlog::set_level(level);
   core::duration longest{};
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    spdlog::info("seed {}", seed);
     lost_disk_schedule schedule(seed);
     schedule.Run();
     longest = std::max(longest, schedule.LongestCatchUp());
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -93,6 +93,11 @@
   std::optional<snapshot> sending_snapshot;
   std::uint64_t next_chunk_offset = 0;
   bool chunk_in_flight = false;
+
+  /// Last time at which the member took entries or a part of a snapshot, did
+  /// not answer, or lacked nothing that is committed.
+  core::time_point last_progress;
+  core::time_point last_stall_report;
 };
 
 /// State of a link that another member opened, used by its serving task.
@@ -168,6 +173,8 @@
   core::awaitable<void> HeartbeatTask(core::term term);
   void BeginHeartbeatRound(leader_role& leader);
   void AdvanceQuorumRound();
+  /// Logs each member that answers and takes nothing of what it lacks.
+  void ReportStalledPeers();
   bool HoldsLease() const;
   core::time_point LeadershipConfirmedAt() const;
   void AdvanceCommit();
--- a/src/consensus/peer.cpp
+++ b/src/consensus/peer.cpp
@@ -105,6 +105,7 @@
 }
 
 void node::impl::ResetProgress(peer& peer) {
+  peer.last_progress = peer.last_stall_report = clock.Now();
   peer.match_revision = 0;
   peer.acknowledged_round = 0;
   peer.transfer_pending = false;
@@ -303,6 +304,7 @@
   if (peer.probing && probe_matched) peer.probing = false;
   if (reply.matched_revision > peer.match_revision) {
     peer.match_revision = reply.matched_revision;
+    peer.last_progress = clock.Now();
     peer.next_revision = std::max(peer.next_revision, peer.match_revision + 1);
     while (!peer.in_flight.empty() &&
            peer.in_flight.front() <= peer.match_revision) {
@@ -325,6 +327,9 @@
     return;
   }
   peer.chunk_in_flight = false;
+  if (reply.next_offset > peer.next_chunk_offset) {
+    peer.last_progress = clock.Now();
+  }
   peer.next_chunk_offset = reply.next_offset;
   if (reply.next_offset >= peer.sending_snapshot->data->size()) {
     peer.match_revision =
