Forget the disk ids of an earlier term when leading again

Cause: a process keeps the disk id of each member from the time when it last led or campaigned. When it led again, its first commit compared that id with the recorded one: a member whose disk was replaced and that voted again in between was taken for one with another disk and became a learner, if its first reply came after that commit. While it was a learner, the loss of one more disk left the cell without a majority for good. Change: the id is unknown until the member's first reply in the term. Measured: NodeTest.ALeaderForgetsTheDiskIdsOfItsFormerTerm failed before the change ("member m1 has another disk; it becomes a learner" twice, members at revision 8 in place of 5) and passes after it. Conclusion: progress kept from a former disk did harm.

--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -305,6 +305,43 @@
   EXPECT_TRUE(cluster.At(leader).Status().members.members[lost].voter);
 }
 
+// Guards against the demotion of a sound voter: a process that leads again knew
+// the member's former disk and took it for a newer one.
+TEST(NodeTest, ALeaderForgetsTheDiskIdsOfItsFormerTerm) {
+  std::optional<core::member_id> slow;
+  fake_cluster cluster(3, 31, [&](const auto& from, const auto&, const auto&) {
+    const bool is_slow = slow == from;
+    return std::optional<core::duration>(milliseconds(is_slow ? 100 : 1));
+  });
+  StartAll(cluster);
+  const std::size_t first = cluster.AwaitLeader();
+  const std::size_t lost = (first + 1) % 3;
+  const std::size_t second = (first + 2) % 3;
+  cluster.RunFor(seconds(1));
+  const auto given = cluster.Await(
+      cluster.At(first).TransferLeadership(cluster.members[second]->info.id));
+  ASSERT_TRUE(given) << core::Describe(given.error());
+  ASSERT_EQ(cluster.AwaitLeader(), second);
+
+  cluster.LoseDisk(lost);
+  cluster.Start(lost);
+  cluster.RunFor(seconds(1));
+  const auto promoted = cluster.Await(
+      cluster.At(second).ChangeMember(cluster.members[lost]->info, false));
+  ASSERT_TRUE(promoted) << core::Describe(promoted.error());
+  cluster.RunFor(seconds(1));
+  const membership before = cluster.At(second).Status().members;
+
+  // The first commit of the new term comes before the member's first reply.
+  slow = cluster.members[lost]->info.id;
+  const auto returned = cluster.Await(
+      cluster.At(second).TransferLeadership(cluster.members[first]->info.id));
+  ASSERT_TRUE(returned) << core::Describe(returned.error());
+  ASSERT_EQ(cluster.AwaitLeader(), first);
+  cluster.RunFor(seconds(1));
+  EXPECT_EQ(cluster.At(first).Status().members, before);
+}
+
 // Guards against an election won with the vote of a member with a new, empty
 // disk: the winner would lack entries that the lost disk had acknowledged.
 TEST(NodeTest, MemberWithAnEmptyDiskDoesNotVote) {
--- a/src/consensus/peer.cpp
+++ b/src/consensus/peer.cpp
@@ -105,6 +105,9 @@
 }
 
 void node::impl::ResetProgress(peer& peer) {
+  // The member may have had other disks since this process last led or
+  // campaigned. An id from that time would demote a sound voter.
+  peer.disk_id = 0;
   peer.last_progress = peer.last_stall_report = clock.Now();
   peer.match_revision = 0;
   peer.acknowledged_round = 0;
