Bind a requested election to the term of the request

Cause: a leadership transfer was kept as a flag without its term. A member that was busy, for instance waiting for a slow disk, carried it out terms later. Such an election ignores leases, so it could make a second member leader while the present leader held its lease. Change: the term of the request is kept, and the election starts only in it. The leader of that term has released its lease.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -33,7 +33,7 @@
       RandomTimeout(kMinElectionWaitFactor, kMaxElectionWaitFactor);
   core::time_point since = last_leader_contact;
   while (!ended) {
-    if (std::exchange(transfer_requested, false)) {
+    if (std::exchange(transfer_term, std::nullopt) == hard_state.term) {
       co_await RunElection(true);
       continue;
     }
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -308,7 +308,9 @@
   core::time_point last_leader_contact;
   core::time_point last_vote_time;
   std::uint64_t last_campaign_id = 0;
-  bool transfer_requested = false;
+  /// Term whose leader has requested a transfer to this member. The election
+  /// ignores leases, so it must not start in a later term.
+  std::optional<core::term> transfer_term;
   std::map<core::member_id, std::shared_ptr<peer>> peers;
   std::set<std::shared_ptr<inbound_link>> inbound_links;
   std::map<core::revision, std::shared_ptr<proposal>> proposals;
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -404,6 +404,41 @@
   EXPECT_TRUE(mismatch_reported);
 }
 
+// Guards against a transfer of leadership that a busy member carries out terms
+// later: its election ignores leases, also that of the present leader.
+TEST(NodeTest, ATransferEndsWithItsTerm) {
+  fake_cluster cluster(3, 32);
+  cluster.Start(1);
+  ASSERT_TRUE(cluster.RunUntil([&] { return cluster.members[1]->HasStarted(); },
+                               seconds(1)));
+  const auto send = [&](std::size_t from, core::term term, bool transfer) {
+    const core::member_id leader = cluster.members[from]->info.id;
+    const auto transport = cluster.network.TransportOf(leader);
+    const auto link =
+        cluster.Await(transport->Connect(cluster.members[1]->info));
+    ASSERT_TRUE(link);
+    append_request append;
+    append.term = term;
+    append.leader = leader;
+    const message first = append;
+    const message second = leadership_transfer{term, leader};
+    ASSERT_TRUE(cluster.Await((*link)->Send(first)));
+    if (transfer) ASSERT_TRUE(cluster.Await((*link)->Send(second)));
+    cluster.RunFor(milliseconds(20));
+  };
+  send(0, 5, false);
+  // The election of the first transfer waits for the disk meanwhile.
+  cluster.members[1]->runner->hangs_until =
+      cluster.clock.Now() + milliseconds(500);
+  send(0, 5, true);
+  EXPECT_EQ(cluster.At(1).Status().term, 6u);
+  send(0, 6, true);
+  send(2, 7, false);
+  cluster.RunFor(milliseconds(600));
+  EXPECT_EQ(cluster.At(1).Status().term, 7u);
+  EXPECT_EQ(cluster.At(1).Status().leader, cluster.members[2]->info.id);
+}
+
 // Guards against a membership change that leaves the cell without a quorum.
 TEST(NodeTest, RefusesToRemoveTheLastVoter) {
   fake_cluster cluster(1, 13);
--- a/src/consensus/server.cpp
+++ b/src/consensus/server.cpp
@@ -52,7 +52,7 @@
       !IsVoter()) {
     return;
   }
-  transfer_requested = true;
+  transfer_term = request.term;
   election_changed.NotifyAll();
 }
 
