--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -124,6 +124,10 @@
   /// Snapshot being received.
   core::revision snapshot_revision = 0;
   std::string snapshot_data;
+  /// Reply to the last chunk, until it is sent.
+  std::optional<snapshot_reply> chunk_reply;
+  /// The reply waits until the log is durable up to this revision.
+  core::revision chunk_durable_at = 0;
 };
 
 /// A proposal that waits for its commit.
@@ -210,10 +214,11 @@
   core::awaitable<void> AckLoop(std::shared_ptr<inbound_link> inbound);
   core::awaitable<void> OnRequest(std::shared_ptr<inbound_link> inbound,
                                   message request);
-  core::awaitable<void> OnChunk(std::shared_ptr<inbound_link> inbound,
-                                snapshot_chunk chunk);
+  void OnChunk(inbound_link& inbound, snapshot_chunk chunk);
   append_reply NextReply(inbound_link& inbound);
   bool NeedsReply(const inbound_link& inbound) const;
+  bool IsChunkReplyDue(const inbound_link& inbound) const;
+  message NextOutgoing(inbound_link& inbound);
   void OnLeadershipTransfer(const leadership_transfer& request);
   void OnAppend(inbound_link& inbound, append_request& request);
   bool AcceptLeader(inbound_link& inbound, core::term term,
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -439,6 +439,36 @@
   EXPECT_EQ(cluster.At(1).Status().leader, cluster.members[2]->info.id);
 }
 
+// Guards against a leader that loses its majority while the member that it
+// needs writes a snapshot to a slow disk and reads no heartbeats.
+TEST(NodeTest, AMemberAnswersHeartbeatsWhileItWritesASnapshot) {
+  fake_cluster cluster(3, 33);
+  cluster.base.snapshot_after_bytes = 1500;
+  StartAll(cluster);
+  const std::size_t leader = cluster.AwaitLeader();
+  const std::size_t slow = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  cluster.Crash(slow);
+  for (int i = 0; i < 100; ++i) {
+    ASSERT_TRUE(cluster.Await(cluster.At(leader).Propose("command")));
+  }
+  cluster.Start(slow);
+  const auto machine = cluster.members[slow]->machine;
+  ASSERT_TRUE(
+      cluster.RunUntil([&] { return machine->restores > 0; }, seconds(2)));
+  const core::duration hang = 3 * cluster.base.election_timeout;
+  cluster.members[slow]->runner->hangs_until = cluster.clock.Now() + hang;
+  cluster.Crash(other);
+  const core::term term = cluster.At(leader).Status().term;
+  const core::time_point end = cluster.clock.Now() + hang;
+  while (cluster.clock.Now() < end) {
+    cluster.RunFor(cluster.base.heartbeat_interval);
+    ASSERT_TRUE(cluster.At(leader).HoldsLease());
+  }
+  EXPECT_EQ(cluster.At(leader).Status().term, term);
+  ASSERT_TRUE(cluster.Await(cluster.At(leader).Propose("after")));
+}
+
 // Guards against a membership change that leaves the cell without a quorum.
 TEST(NodeTest, RefusesToRemoveTheLastVoter) {
   fake_cluster cluster(1, 13);
--- a/src/consensus/server.cpp
+++ b/src/consensus/server.cpp
@@ -34,7 +34,7 @@
   if (auto* append = std::get_if<append_request>(&request)) {
     OnAppend(*inbound, *append);
   } else if (auto* chunk = std::get_if<snapshot_chunk>(&request)) {
-    co_await OnChunk(inbound, std::move(*chunk));
+    OnChunk(*inbound, std::move(*chunk));
   } else if (auto* vote = std::get_if<vote_request>(&request)) {
     message reply = co_await OnVoteRequest(std::move(*vote));
     co_await inbound->link->Send(std::move(reply));
@@ -114,12 +114,11 @@
   inbound.wake.NotifyAll();
 }
 
-core::awaitable<void> node::impl::OnChunk(std::shared_ptr<inbound_link> inbound,
-                                          snapshot_chunk chunk) {
-  if (!AcceptLeader(*inbound, chunk.term, chunk.leader)) {
-    inbound->wake.NotifyAll();
-    co_return;
-  }
+/// The reply to the last chunk waits for the disk in the task that sends
+/// replies, so that the heartbeats behind the chunk are read and answered.
+void node::impl::OnChunk(inbound_link& inbound, snapshot_chunk chunk) {
+  inbound.wake.NotifyAll();
+  if (!AcceptLeader(inbound, chunk.term, chunk.leader)) return;
   snapshot_reply reply{chunk.term, chunk.snapshot_revision, chunk.total,
                        own_disk_id};
   const bool log_contains_snapshot =
@@ -129,32 +128,27 @@
       log.TermAt(chunk.snapshot_revision) == chunk.snapshot_term;
   if (log_contains_snapshot) CommitUpTo(chunk.snapshot_revision);
   if (chunk.snapshot_revision > committed) {
-    if (inbound->snapshot_revision != chunk.snapshot_revision) {
-      inbound->snapshot_data.clear();
+    if (inbound.snapshot_revision != chunk.snapshot_revision) {
+      inbound.snapshot_data.clear();
     }
-    inbound->snapshot_revision = chunk.snapshot_revision;
-    if (chunk.offset == inbound->snapshot_data.size()) {
-      inbound->snapshot_data += chunk.data;
+    inbound.snapshot_revision = chunk.snapshot_revision;
+    if (chunk.offset == inbound.snapshot_data.size()) {
+      inbound.snapshot_data += chunk.data;
     }
-    reply.next_offset = inbound->snapshot_data.size();
+    reply.next_offset = inbound.snapshot_data.size();
   }
-  if (chunk.snapshot_revision > committed && reply.next_offset == chunk.total) {
+  const bool is_complete = reply.next_offset == chunk.total;
+  if (chunk.snapshot_revision > committed && is_complete) {
     const auto data =
-        std::make_shared<const std::string>(std::move(inbound->snapshot_data));
-    inbound->snapshot_data.clear();
-    inbound->snapshot_revision = 0;
+        std::make_shared<const std::string>(std::move(inbound.snapshot_data));
+    inbound.snapshot_data.clear();
+    inbound.snapshot_revision = 0;
     snapshot complete{chunk.snapshot_revision, chunk.snapshot_term,
                       chunk.members, data};
-    if (!InstallSnapshot(std::move(complete))) co_return;
-  }
-  while (reply.next_offset == chunk.total &&
-         durable_revision < chunk.snapshot_revision && !ended) {
-    co_await durable_changed.Wait();
+    if (!InstallSnapshot(std::move(complete))) return;
   }
-  const bool saved = co_await WaitUntilHardStateDurable();
-  if (!saved) co_return;
-  message out = reply;
-  co_await inbound->link->Send(std::move(out));
+  inbound.chunk_reply = reply;
+  inbound.chunk_durable_at = is_complete ? chunk.snapshot_revision : 0;
 }
 
 bool node::impl::InstallSnapshot(snapshot received) {
@@ -191,6 +185,15 @@
          inbound.replied_revision;
 }
 
+bool node::impl::IsChunkReplyDue(const inbound_link& inbound) const {
+  return inbound.chunk_reply && durable_revision >= inbound.chunk_durable_at;
+}
+
+message node::impl::NextOutgoing(inbound_link& inbound) {
+  if (!IsChunkReplyDue(inbound)) return NextReply(inbound);
+  return *std::exchange(inbound.chunk_reply, std::nullopt);
+}
+
 append_reply node::impl::NextReply(inbound_link& inbound) {
   append_reply reply;
   reply.term = hard_state.term;
@@ -214,13 +217,13 @@
 core::awaitable<void> node::impl::AckLoop(
     std::shared_ptr<inbound_link> inbound) {
   while (!inbound->closed && !ended) {
-    if (!NeedsReply(*inbound)) {
+    if (!NeedsReply(*inbound) && !IsChunkReplyDue(*inbound)) {
       co_await inbound->wake.Wait();
       continue;
     }
     const bool saved = co_await WaitUntilHardStateDurable();
     if (!saved || inbound->closed) co_return;
-    message reply = NextReply(*inbound);
+    message reply = NextOutgoing(*inbound);
     const auto sent = co_await inbound->link->Send(std::move(reply));
     if (!sent) co_return;
   }
