--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -305,6 +305,43 @@
   EXPECT_TRUE(cluster.At(leader).Status().members.members[lost].voter);
 }
 
+// Guards against the demotion of a sound voter: a process that leads again knew
+// the member's former disk and took it for a newer one.
+TEST(NodeTest, ALeaderForgetsTheDiskIdsOfItsFormerTerm) {
+  std::optional<core::member_id> slow;
+  fake_cluster cluster(3, 31, [&](const auto& from, const auto&, const auto&) {
+    const bool is_slow = slow == from;
+    return std::optional<core::duration>(milliseconds(is_slow ? 100 : 1));
+  });
+  StartAll(cluster);
+  const std::size_t first = cluster.AwaitLeader();
+  const std::size_t lost = (first + 1) % 3;
+  const std::size_t second = (first + 2) % 3;
+  cluster.RunFor(seconds(1));
+  const auto given = cluster.Await(
+      cluster.At(first).TransferLeadership(cluster.members[second]->info.id));
+  ASSERT_TRUE(given) << core::Describe(given.error());
+  ASSERT_EQ(cluster.AwaitLeader(), second);
+
+  cluster.LoseDisk(lost);
+  cluster.Start(lost);
+  cluster.RunFor(seconds(1));
+  const auto promoted = cluster.Await(
+      cluster.At(second).ChangeMember(cluster.members[lost]->info, false));
+  ASSERT_TRUE(promoted) << core::Describe(promoted.error());
+  cluster.RunFor(seconds(1));
+  const membership before = cluster.At(second).Status().members;
+
+  // The first commit of the new term comes before the member's first reply.
+  slow = cluster.members[lost]->info.id;
+  const auto returned = cluster.Await(
+      cluster.At(second).TransferLeadership(cluster.members[first]->info.id));
+  ASSERT_TRUE(returned) << core::Describe(returned.error());
+  ASSERT_EQ(cluster.AwaitLeader(), first);
+  cluster.RunFor(seconds(1));
+  EXPECT_EQ(cluster.At(first).Status().members, before);
+}
+
 // Guards against an election won with the vote of a member with a new, empty
 // disk: the winner would lack entries that the lost disk had acknowledged.
 TEST(NodeTest, MemberWithAnEmptyDiskDoesNotVote) {
@@ -367,6 +404,71 @@
   EXPECT_TRUE(mismatch_reported);
 }
 
+// Guards against a transfer of leadership that a busy member carries out terms
+// later: its election ignores leases, also that of the present leader.
+TEST(NodeTest, ATransferEndsWithItsTerm) {
+  fake_cluster cluster(3, 32);
+  cluster.Start(1);
+  ASSERT_TRUE(cluster.RunUntil([&] { return cluster.members[1]->HasStarted(); },
+                               seconds(1)));
+  const auto send = [&](std::size_t from, core::term term, bool transfer) {
+    const core::member_id leader = cluster.members[from]->info.id;
+    const auto transport = cluster.network.TransportOf(leader);
+    const auto link =
+        cluster.Await(transport->Connect(cluster.members[1]->info));
+    ASSERT_TRUE(link);
+    append_request append;
+    append.term = term;
+    append.leader = leader;
+    const message first = append;
+    const message second = leadership_transfer{term, leader};
+    ASSERT_TRUE(cluster.Await((*link)->Send(first)));
+    if (transfer) ASSERT_TRUE(cluster.Await((*link)->Send(second)));
+    cluster.RunFor(milliseconds(20));
+  };
+  send(0, 5, false);
+  // The election of the first transfer waits for the disk meanwhile.
+  cluster.members[1]->runner->hangs_until =
+      cluster.clock.Now() + milliseconds(500);
+  send(0, 5, true);
+  EXPECT_EQ(cluster.At(1).Status().term, 6u);
+  send(0, 6, true);
+  send(2, 7, false);
+  cluster.RunFor(milliseconds(600));
+  EXPECT_EQ(cluster.At(1).Status().term, 7u);
+  EXPECT_EQ(cluster.At(1).Status().leader, cluster.members[2]->info.id);
+}
+
+// Guards against a leader that loses its majority while the member that it
+// needs writes a snapshot to a slow disk and reads no heartbeats.
+TEST(NodeTest, AMemberAnswersHeartbeatsWhileItWritesASnapshot) {
+  fake_cluster cluster(3, 33);
+  cluster.base.snapshot_after_bytes = 1500;
+  StartAll(cluster);
+  const std::size_t leader = cluster.AwaitLeader();
+  const std::size_t slow = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  cluster.Crash(slow);
+  for (int i = 0; i < 100; ++i) {
+    ASSERT_TRUE(cluster.Await(cluster.At(leader).Propose("command")));
+  }
+  cluster.Start(slow);
+  const auto machine = cluster.members[slow]->machine;
+  ASSERT_TRUE(
+      cluster.RunUntil([&] { return machine->restores > 0; }, seconds(2)));
+  const core::duration hang = 3 * cluster.base.election_timeout;
+  cluster.members[slow]->runner->hangs_until = cluster.clock.Now() + hang;
+  cluster.Crash(other);
+  const core::term term = cluster.At(leader).Status().term;
+  const core::time_point end = cluster.clock.Now() + hang;
+  while (cluster.clock.Now() < end) {
+    cluster.RunFor(cluster.base.heartbeat_interval);
+    ASSERT_TRUE(cluster.At(leader).HoldsLease());
+  }
+  EXPECT_EQ(cluster.At(leader).Status().term, term);
+  ASSERT_TRUE(cluster.Await(cluster.At(leader).Propose("after")));
+}
+
 // Guards against a membership change that leaves the cell without a quorum.
 TEST(NodeTest, RefusesToRemoveTheLastVoter) {
   fake_cluster cluster(1, 13);
