Require a recent heartbeat for new tasks

A worker whose heartbeats failed while its polls were answered went on getting tasks by its last reported capacity and drain state: last_heard, which answers renew, decided both. Answers show neither, so last_reported now tells the age of the last heartbeat, and a worker gets new tasks only within worker_silence of it. Runs go on, as polls renew their lease. A new leader uses the recorded capacity for worker_silence at most.

--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -16,7 +16,7 @@
   core::milliseconds max_lease{6'000};
   /// Share by which a worker's clock may be slower than the leader's.
   double clock_drift = 0.03;
-  /// Time since the last contact after which a worker gets no new tasks.
+  /// Time since the last heartbeat after which a worker gets no new tasks.
   core::milliseconds worker_silence{3'500};
   /// Time for which records of ended jobs are kept.
   core::milliseconds ended_job_retention{125'000};
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -192,6 +192,7 @@
                        std::chrono::duration_cast<core::duration>(
                            settings.max_lease * (1 + settings.clock_drift));
   monitor->last_heard = clock.Now();
+  monitor->last_reported = clock.Now();
   monitors[worker.key.id] = monitor;
   Spawn(MonitorWorker(monitor));
 }
@@ -309,6 +310,7 @@
   ++load.heartbeats;
   if (it == monitors.end() || it->second->worker.key != key) return;
   UpdateClock(*it->second, clock_ms, reading_source::kReport);
+  it->second->last_reported = clock.Now();
 }
 
 /// Records events together with the jobs that have started since, and how long
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -69,7 +69,11 @@
   core::time_point clock_read_at;
   /// Time by which the lease has provably ended.
   core::time_point lease_end;
+  /// Time of the last heartbeat or answer.
   core::time_point last_heard;
+  /// Time of the last heartbeat. Answers show neither the capacity nor a drain,
+  /// so that they don't renew it.
+  core::time_point last_reported;
   /// The worker gets no new tasks before this time.
   core::time_point avoid_until{};
   /// Jobs whose runs have failed on the worker since a run last succeeded.
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -180,11 +180,11 @@
   round_begin = clock.Now();
   const core::time_point now = round_begin;
   for (const auto& [id, monitor] : monitors) {
-    const bool is_usable = monitor->synced && !monitor->unanswered &&
-                           !monitor->removing && monitor->clock_ms &&
-                           !monitor->worker.draining &&
-                           now >= monitor->avoid_until &&
-                           now < monitor->last_heard + settings.worker_silence;
+    const bool is_usable =
+        monitor->synced && !monitor->unanswered && !monitor->removing &&
+        monitor->clock_ms && !monitor->worker.draining &&
+        now >= monitor->avoid_until &&
+        now < monitor->last_reported + settings.worker_silence;
     if (!is_usable || IsStartingSuspect(*monitor)) continue;
     const core::resources& capacity = monitor->worker.capacity;
     const core::resources free = capacity - monitor->runs.Used();
--- /dev/null
+++ b/src/dispatch/sign_of_life_test.cpp
@@ -0,0 +1,74 @@
+#include "dispatch/dispatcher_fixture.h"
+
+namespace mangoplank::dispatch {
+namespace {
+
+constexpr milliseconds kHeartbeatInterval{500};
+/// Longer than the time after which a silent worker gets no new tasks.
+constexpr milliseconds kSilenceTime{4'500};
+
+/// Workers of which one channel works and another does not.
+class SignOfLifeTest : public DispatcherTest {
+ protected:
+  void RunWithHeartbeats(core::duration duration) {
+    const core::time_point end = clock_.Now() + duration;
+    while (clock_.Now() < end) {
+      const auto workers = event_log_.state.Workers();
+      for (const auto& [id, worker] : workers) {
+        if (unreported_.contains(id)) continue;
+        dispatcher_->OnHeartbeat(worker.key, workers_.ClockMs());
+      }
+      RunFor(kHeartbeatInterval);
+    }
+  }
+  core::worker_id WorkerOf(const workflow::run_id& run) const {
+    const workflow::worker_key* const worker =
+        event_log_.state.FindAssignedWorker(run);
+    return worker == nullptr ? core::worker_id{} : worker->id;
+  }
+
+  /// Workers whose heartbeats don't arrive.
+  std::set<core::worker_id> unreported_;
+};
+
+// Guards against tasks that start by a capacity and a drain state that are no
+// longer known: the worker's heartbeats fail while its polls are answered.
+TEST_F(SignOfLifeTest, AnswersDoNotShowThatTheCapacityIsStillTheSame) {
+  AddWorker("w1");
+  BeginTerm();
+  Submit("active", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(1));
+  ASSERT_EQ(CountStarts("active"), 1u);
+  unreported_.insert({"w1"});
+  RunWithHeartbeats(kSilenceTime);
+  Submit("next", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(CountStarts("next"), 0u);
+  // Its run goes on: polls renew the lease.
+  RunWithHeartbeats(seconds(10));
+  EXPECT_TRUE(event_log_.state.IsAssigned(RunOf("active", 0, 1)));
+  EXPECT_GT(workers_.states[{"w1"}].lease_until_ms, workers_.ClockMs());
+  unreported_.clear();
+  RunWithHeartbeats(seconds(1));
+  EXPECT_EQ(CountStarts("next"), 1u);
+}
+
+// Guards against a new leader that uses the capacity which an earlier leader
+// has recorded for longer than it would use its own knowledge.
+TEST_F(SignOfLifeTest, ANewLeaderUsesTheRecordedCapacityForOneSilenceTime) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  Submit("active", {Step(1, 1'000)}, queue_);
+  event_log_.Apply(workflow::run_assigned{RunOf("active", 0, 1), w1});
+  workers_.states[w1.id].running[RunOf("active", 0, 1)] = "";
+  BeginTerm();
+  unreported_.insert(w1.id);
+  Submit("early", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(kSilenceTime);
+  EXPECT_EQ(CountStarts("early"), 1u);
+  Submit("next", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(CountStarts("next"), 0u);
+}
+
+}  // namespace
+}  // namespace mangoplank::dispatch
