Avoid proxies that leave eligibility calls unanswered

Connections of gateways were taken as a sign that they can call the eligibility service. A gateway that stayed connected and answered no call was free again after each time-out, and the least loaded proxy gets the next call, so that it drew most calls. A reply that the service could not be asked counts as unanswered.

The calls of the other tests of the pool and of the queue name the outcome; what they expect is the same.

--- a/src/dispatch/connection_server.cpp
+++ b/src/dispatch/connection_server.cpp
@@ -212,8 +212,11 @@
     if (!notified) break;
   }
   self->checks.erase(id);
-  self->proxies.Release(*proxy, cost);
-  if (!pending->result || !pending->result->known) co_return std::nullopt;
+  const bool is_known = pending->result && pending->result->known;
+  self->proxies.Release(
+      *proxy, cost,
+      is_known ? call_outcome::kAnswered : call_outcome::kNotAnswered);
+  if (!is_known) co_return std::nullopt;
   co_return std::move(pending->result->eligible);
 }
 
--- a/src/dispatch/eligibility_proxy_queue.cpp
+++ b/src/dispatch/eligibility_proxy_queue.cpp
@@ -10,13 +10,19 @@
   return id;
 }
 
+void eligibility_proxy_queue::Remove(proxy_id id) {
+  pool_.Remove(id);
+  // Those that are left may all be avoided, and are then used.
+  AssignWaitingCalls();
+}
+
 /// Wakes only the calls that get a proxy: with hundreds of waiting calls,
 /// waking all of them for each released proxy takes most of the leader's time.
 void eligibility_proxy_queue::AssignWaitingCalls() {
   while (!calls_.empty()) {
     const auto first = calls_.begin();
     const auto call = first->second;
-    call->proxy = pool_.Acquire(call->cost);
+    call->proxy = pool_.Acquire(call->cost, clock_.Now());
     if (!call->proxy) return;
     calls_.erase(first);
     call->assigned.NotifyAll();
@@ -38,8 +44,9 @@
   co_return call->proxy;
 }
 
-void eligibility_proxy_queue::Release(proxy_id id, core::milliseconds cost) {
-  pool_.Release(id, cost);
+void eligibility_proxy_queue::Release(proxy_id id, core::milliseconds cost,
+                                      call_outcome outcome) {
+  pool_.Release(id, cost, outcome, clock_.Now());
   AssignWaitingCalls();
 }
 
--- a/src/dispatch/eligibility_proxy_queue.h
+++ b/src/dispatch/eligibility_proxy_queue.h
@@ -19,7 +19,7 @@
       : executor_(executor), clock_(clock) {}
 
   proxy_id Add();
-  void Remove(proxy_id id) { pool_.Remove(id); }
+  void Remove(proxy_id id);
 
   /// Waits until the call can be assigned.
   /// @param cost expected time of the call.
@@ -29,7 +29,7 @@
                                                    std::int32_t priority,
                                                    core::time_point deadline);
   /// Ends a call. Does nothing if the proxy was removed.
-  void Release(proxy_id id, core::milliseconds cost);
+  void Release(proxy_id id, core::milliseconds cost, call_outcome outcome);
 
  private:
   struct position {
--- a/src/dispatch/eligibility_proxy_queue_test.cpp
+++ b/src/dispatch/eligibility_proxy_queue_test.cpp
@@ -51,9 +51,9 @@
   Call(3, 0);
   Call(4, 2);
   EXPECT_EQ(order_, (std::vector<int>{1}));
-  queue_.Release(proxy, milliseconds(500));
+  queue_.Release(proxy, milliseconds(500), call_outcome::kAnswered);
   Settle();
-  queue_.Release(proxy, milliseconds(500));
+  queue_.Release(proxy, milliseconds(500), call_outcome::kAnswered);
   Settle();
   EXPECT_EQ(order_, (std::vector<int>{1, 3, 2}));
 }
@@ -68,7 +68,7 @@
   Call(3, 0);
   Advance(milliseconds(500));
   EXPECT_EQ(order_, (std::vector<int>{1, -2}));
-  queue_.Release(proxy, milliseconds(500));
+  queue_.Release(proxy, milliseconds(500), call_outcome::kAnswered);
   Settle();
   EXPECT_EQ(order_, (std::vector<int>{1, -2, 3}));
 }
--- a/src/dispatch/load_fixture.cpp
+++ b/src/dispatch/load_fixture.cpp
@@ -380,7 +380,7 @@
     if (IsEligible(step, worker)) eligible.push_back({worker, "ticket"});
   }
   co_await core::SleepFor(clock, 2 * settings.network_delay);
-  proxy_queue.Release(*proxy, cost);
+  proxy_queue.Release(*proxy, cost, call_outcome::kAnswered);
   co_return eligible;
 }
 
