Compute leases only from clocks that an answer confirms

A heartbeat set the clock from which the ends of leases in orders are computed, whatever it said: a report of another writer with a clock 60 s ahead gave orders whose lease ends 60 s late. The worker shortens it to 6 s from the arrival of the order, so that lease_end is no bound for an order that arrives late.

A lease now needs an answer of the worker to this leader; the first poll carried none before either, unless a report came before it. A report whose clock is ahead of the latest one possible since the last answer (its age, the longest time that an answer waits, and the drift) counts for nothing. It raises a doubt, as does one that is further behind than the silence time, and a poll then reads the clock, so that a worker whose clock has jumped goes on getting tasks. The first answer replaces a clock that is known from reports only.

AnAnswerConfirmsAClockThatHasJumped guards the doubt.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -309,6 +309,9 @@
   const auto it = monitors.find(key.id);
   ++load.heartbeats;
   if (it == monitors.end() || it->second->worker.key != key) return;
+  CheckClock(*it->second, clock_ms);
+  // It may be another writer's.
+  if (!IsPossibleClock(*it->second, clock_ms)) return;
   UpdateClock(*it->second, clock_ms, reading_source::kReport);
   it->second->last_reported = clock.Now();
 }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -67,6 +67,11 @@
   /// The worker's steady clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_read_at;
+  /// The clock in the worker's last answer, and the time of the answer.
+  std::optional<std::int64_t> answered_clock_ms;
+  core::time_point answered_at;
+  /// A report does not agree with the known clock; an answer decides.
+  bool clock_in_doubt = false;
   /// Time by which the lease has provably ended.
   core::time_point lease_end;
   /// Time of the last heartbeat or answer.
@@ -150,6 +155,9 @@
                    reading_source source);
   std::int64_t MinClockMs(const worker_monitor& monitor,
                           core::time_point time) const;
+  bool IsPossibleClock(const worker_monitor& monitor,
+                       std::int64_t clock_ms) const;
+  void CheckClock(worker_monitor& monitor, std::int64_t clock_ms);
   bool IsClockOfOtherIncarnation(const worker_monitor& monitor,
                                  std::int64_t clock_ms) const;
 
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -75,13 +75,15 @@
   std::map<core::worker_id, int> interruptions;
   core::fake_clock& clock;
   double clock_rate = 1;
+  std::int64_t clock_offset_ms = 0;
 
   explicit fake_workers(core::fake_clock& fake_clock) : clock(fake_clock) {}
 
   /// @return the reading of the workers' clocks, which may run slow.
   std::int64_t ClockMs() const {
     return static_cast<std::int64_t>(static_cast<double>(clock.WallNow()) *
-                                     clock_rate);
+                                     clock_rate) +
+           clock_offset_ms;
   }
 
   void End(const core::worker_id& worker, const workflow::run_id& run,
--- a/src/dispatch/sign_of_life_test.cpp
+++ b/src/dispatch/sign_of_life_test.cpp
@@ -6,6 +6,8 @@
 constexpr milliseconds kHeartbeatInterval{500};
 /// Longer than the time after which a silent worker gets no new tasks.
 constexpr milliseconds kSilenceTime{4'500};
+/// The longest lease that a worker grants.
+constexpr milliseconds kMaxLease{6'000};
 
 /// Workers of which one channel works and another does not.
 class SignOfLifeTest : public DispatcherTest {
@@ -70,5 +72,56 @@
   EXPECT_EQ(CountStarts("next"), 0u);
 }
 
+// Guards against a lease that ends later than the leader expects: its end is
+// computed from a report of another writer, whose clock is ahead.
+TEST_F(SignOfLifeTest, AReportDoesNotMoveLeasesAhead) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  RunWithHeartbeats(seconds(1));
+  dispatcher_->OnHeartbeat(w1, workers_.ClockMs() + 60'000);
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  ASSERT_EQ(CountStarts("j"), 1u);
+  const std::int64_t latest_ms = workers_.ClockMs() + kMaxLease.count();
+  EXPECT_LE(workers_.starts[0].lease_until_ms, latest_ms);
+  EXPECT_LE(workers_.states[w1.id].lease_until_ms, latest_ms);
+}
+
+// The same before the first answer, when nothing is known of the clock.
+TEST_F(SignOfLifeTest, AReportAloneGivesNoLease) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  ASSERT_EQ(CountStarts("j"), 1u);
+  const std::size_t polls = workers_.polls.size();
+  const workflow::worker_key next = AddWorker(w1.id.v, w1.incarnation + 1);
+  dispatcher_->OnHeartbeat(next, workers_.ClockMs() + 60'000);
+  RunFor(milliseconds(100));
+  ASSERT_GT(workers_.polls.size(), polls);
+  const std::int64_t latest_ms = workers_.ClockMs() + kMaxLease.count();
+  for (std::size_t i = polls; i < workers_.polls.size(); ++i) {
+    EXPECT_LE(workers_.polls[i].lease_until_ms.value_or(0), latest_ms);
+  }
+}
+
+// Guards against a worker that gets no tasks for good, since its clock has
+// jumped and all of its reports seem to be another writer's.
+TEST_F(SignOfLifeTest, AnAnswerConfirmsAClockThatHasJumped) {
+  AddWorker("w1");
+  BeginTerm();
+  RunWithHeartbeats(seconds(1));
+  workers_.clock_offset_ms = 60'000;
+  RunWithHeartbeats(kSilenceTime);
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(1));
+  EXPECT_EQ(CountStarts("j"), 1u);
+  workers_.clock_offset_ms = 0;
+  RunWithHeartbeats(kSilenceTime);
+  Submit("next", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(1));
+  EXPECT_EQ(CountStarts("next"), 1u);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -59,19 +59,56 @@
                                    std::int64_t clock_ms,
                                    reading_source source) {
   monitor.last_heard = clock.Now();
+  const bool is_first_answer = !monitor.answered_clock_ms;
+  if (source == reading_source::kAnswer) {
+    monitor.answered_clock_ms = clock_ms;
+    monitor.answered_at = clock.Now();
+    monitor.clock_in_doubt = false;
+  }
   if (monitor.clock_ms) {
     const std::int64_t behind = MinClockMs(monitor, clock.Now()) - clock_ms;
     // A delayed report must not set the clock back. An answer is delayed by
     // less than its time-out; one further behind shows that the known reading
     // was not the worker's.
     const bool is_correction =
-        source == reading_source::kAnswer && behind > kMaxReadingAge.count();
+        source == reading_source::kAnswer &&
+        (is_first_answer || behind > kMaxReadingAge.count());
     if (behind > 0 && !is_correction) return;
   }
   monitor.clock_ms = clock_ms;
   monitor.clock_read_at = clock.Now();
 }
 
+/// @return whether a report may come from the worker: its clock is not ahead of
+/// the latest one that is possible after the last answer. Leases are computed
+/// from it, and would end later than the leader expects.
+bool dispatcher::impl::IsPossibleClock(const worker_monitor& monitor,
+                                       std::int64_t clock_ms) const {
+  if (!monitor.answered_clock_ms) return true;
+  const auto elapsed = std::chrono::duration<double, std::milli>(
+      clock.Now() - monitor.answered_at + kMaxReadingAge);
+  const auto latest = static_cast<double>(*monitor.answered_clock_ms) +
+                      elapsed.count() * (1 + settings.clock_drift);
+  return static_cast<double>(clock_ms) <= latest;
+}
+
+/// Requests a poll if a report does not agree with the known clock: a clock
+/// that has jumped must not leave the worker without tasks for good.
+void dispatcher::impl::CheckClock(worker_monitor& monitor,
+                                  std::int64_t clock_ms) {
+  const bool is_behind =
+      monitor.clock_ms && clock_ms < MinClockMs(monitor, clock.Now()) -
+                                         settings.worker_silence.count();
+  if (!is_behind && IsPossibleClock(monitor, clock_ms)) return;
+  if (!monitor.clock_in_doubt) {
+    spdlog::info("clock_in_doubt worker={} reported_ms={} known_ms={}",
+                 monitor.worker.key.id.v, clock_ms,
+                 MinClockMs(monitor, clock.Now()));
+  }
+  monitor.clock_in_doubt = true;
+  monitor.wakeup.NotifyAll();
+}
+
 /// @return the earliest reading of the worker's known clock at a time.
 std::int64_t dispatcher::impl::MinClockMs(const worker_monitor& monitor,
                                           core::time_point time) const {
@@ -83,15 +120,16 @@
          static_cast<std::int64_t>(std::floor(elapsed * rate));
 }
 
-/// @return the end of a lease on the worker's clock; no value if the clock is
-/// not known or leadership is not confirmed. The lease starts at the last
-/// confirmed time of leadership: the term of a later leader begins after that
-/// time, and the later leader waits for one lease.
+/// @return the end of a lease on the worker's clock; no value if the worker has
+/// not answered yet or leadership is not confirmed. The lease starts at the
+/// last confirmed time of leadership: the term of a later leader begins after
+/// that time, and the later leader waits for one lease.
 std::optional<std::int64_t> dispatcher::impl::NextLeaseEndMs(
     worker_monitor& monitor) {
   const core::time_point confirmed_at =
       std::min(event_log.LeadershipConfirmedAt(), clock.Now());
-  if (!monitor.clock_ms || confirmed_at + settings.lease < clock.Now()) {
+  if (!monitor.answered_clock_ms ||
+      confirmed_at + settings.lease < clock.Now()) {
     return std::nullopt;
   }
   const auto longest = std::chrono::duration_cast<core::duration>(
@@ -106,7 +144,7 @@
   const auto self = shared_from_this();
   while (!stopped && !monitor->removed) {
     const bool idle = monitor->synced && !monitor->unanswered &&
-                      monitor->runs.IsEmpty() &&
+                      !monitor->clock_in_doubt && monitor->runs.IsEmpty() &&
                       monitor->acknowledged_ends == monitor->recorded_ends;
     if (idle) {
       co_await monitor->wakeup.Wait();
