--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -67,9 +67,18 @@
   /// The worker's steady clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_read_at;
+  /// The clock in the worker's last answer, and the time of the answer.
+  std::optional<std::int64_t> answered_clock_ms;
+  core::time_point answered_at;
+  /// A report does not agree with the known clock; an answer decides.
+  bool clock_in_doubt = false;
   /// Time by which the lease has provably ended.
   core::time_point lease_end;
+  /// Time of the last heartbeat or answer.
   core::time_point last_heard;
+  /// Time of the last heartbeat. Answers show neither the capacity nor a drain,
+  /// so that they don't renew it.
+  core::time_point last_reported;
   /// The worker gets no new tasks before this time.
   core::time_point avoid_until{};
   /// Jobs whose runs have failed on the worker since a run last succeeded.
@@ -146,6 +155,9 @@
                    reading_source source);
   std::int64_t MinClockMs(const worker_monitor& monitor,
                           core::time_point time) const;
+  bool IsPossibleClock(const worker_monitor& monitor,
+                       std::int64_t clock_ms) const;
+  void CheckClock(worker_monitor& monitor, std::int64_t clock_ms);
   bool IsClockOfOtherIncarnation(const worker_monitor& monitor,
                                  std::int64_t clock_ms) const;
 
