Test that orders without an answer do not take out the cell

The load fixture can now lose a share of all orders and carry out those to start and stop a run 2 to 12 s later. Its workers keep leases, end a gang of which a member is missing, refuse old runs, and count starts of a task that was running or had succeeded.

LateOrdersTest plays 100 workers at 0.8 of the usual load.

--- a/src/dispatch/load_fixture.cpp
+++ b/src/dispatch/load_fixture.cpp
@@ -17,6 +17,11 @@
 
 constexpr core::term kTerm = 1;
 constexpr milliseconds kHeartbeatInterval{1'500};
+/// Bounds of the delay after which an order without an answer is carried out.
+constexpr double kMinOrderDelayMs = 2'000;
+constexpr double kMaxOrderDelayMs = 12'000;
+/// Time for which members of a gang wait for the others.
+constexpr milliseconds kGangWait{4'000};
 /// Workers that the objective assumes in each eligibility check.
 constexpr double kWorkersPerCheck = 30;
 /// A job that is late by less than this factor earns a part of its benefit.
@@ -85,16 +90,21 @@
     };
     std::map<workflow::run_id, run> running;
     std::vector<ended_run> ended;
+    /// Highest run of each task that was stopped or has ended here.
+    std::map<workflow::task_id, std::uint32_t> last_ended;
+    std::int64_t lease_until_ms = 0;
     std::uint64_t next_end = 1;
     std::unique_ptr<core::event> has_ends;
   };
   struct gang_state {
     std::vector<std::pair<workflow::run_id, core::worker_id>> members;
+    bool broken = false;
   };
 
   explicit impl(load_settings load_settings)
       : settings(std::move(load_settings)),
         sizes(settings.seed),
+        losses(settings.seed),
         event_log(clock),
         proxy_queue(context.get_executor(), clock) {}
 
@@ -113,7 +123,16 @@
   awaitable<void> SendHeartbeats();
   awaitable<void> TrackEnds();
   workflow::job_spec MakeJob(std::size_t profile_index, job_plan& plan);
+  bool IsLate();
+  awaitable<void> WaitForLateOrder();
+  awaitable<void> StartLate(core::worker_id worker, start_order order);
+  awaitable<void> StopLate(core::worker_id worker, workflow::run_id run);
+  order_result CarryOut(const core::worker_id& worker,
+                        const start_order& order);
+  void CarryOutStop(const core::worker_id& worker, const workflow::run_id& run);
+  void EndLeases();
   void Begin(const core::worker_id& worker, const workflow::run_id& run);
+  void BreakGang(const workflow::run_id& member);
   void SaveProgress(const workflow::run_id& run, core::duration worked);
   void EndAfter(double run_ms, const core::worker_id& worker,
                 const workflow::run_id& run, workflow::run_end ending);
@@ -129,6 +148,7 @@
 
   const load_settings settings;
   size_source sizes;
+  size_source losses;
   asio::io_context context;
   core::fake_clock clock;
   metrics::registry registry;
@@ -139,6 +159,10 @@
   std::map<std::string, job_plan> plans;
   std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, gang_state>
       gangs;
+  /// Number of running runs by task, and the tasks that have succeeded.
+  std::map<workflow::task_id, int> running_by_task;
+  std::set<workflow::task_id> succeeded;
+  std::size_t repeated_starts = 0;
   std::unique_ptr<dispatcher> active;
   core::time_point traffic_end;
   std::size_t next_job = 0;
@@ -245,6 +269,7 @@
   const core::time_point end = traffic_end + settings.finish_time;
   while (clock.Now() < end) {
     co_await core::SleepFor(clock, milliseconds(20));
+    EndLeases();
     for (auto& [id, plan] : plans) {
       if (plan.ended_at) continue;
       const workflow::job* const job = event_log.state.FindJob(id);
@@ -270,8 +295,37 @@
     SaveProgress(run, clock.Now() - it->second.began);
   }
   state.running.erase(it);
+  --running_by_task[run.task];
+  if (ending == workflow::run_end::kDone) succeeded.insert(run.task);
+  std::uint32_t& last = state.last_ended[run.task];
+  last = std::max(last, run.number);
   state.ended.push_back({state.next_end++, run, ending, {}});
   state.has_ends->NotifyAll();
+  if (ending != workflow::run_end::kDone) BreakGang(run);
+}
+
+/// Ends the other members of a gang's run.
+void load_run::impl::BreakGang(const workflow::run_id& member) {
+  const auto it =
+      gangs.find({member.task.job, member.task.step, member.number});
+  if (it == gangs.end() || std::exchange(it->second.broken, true)) return;
+  const auto members = it->second.members;
+  for (const auto& [run, worker] : members) {
+    End(worker, run, workflow::run_end::kGangMemberEnded);
+  }
+}
+
+void load_run::impl::EndLeases() {
+  for (auto& [id, worker] : workers) {
+    if (worker.running.empty() || clock.WallNow() <= worker.lease_until_ms) {
+      continue;
+    }
+    std::vector<workflow::run_id> expired;
+    for (const auto& [run, active_run] : worker.running) expired.push_back(run);
+    for (const workflow::run_id& run : expired) {
+      End(id, run, workflow::run_end::kLeaseExpired);
+    }
+  }
 }
 
 /// A stopped task that saves checkpoints has less work left.
@@ -303,41 +357,121 @@
   worker_state& state = workers[worker];
   state.used = state.used + step.need;
   state.running.emplace(run, worker_state::run{step.need, clock.Now()});
+  const bool is_repeated =
+      running_by_task[run.task]++ > 0 || succeeded.contains(run.task);
+  if (is_repeated) ++repeated_starts;
   if (!step.gang) {
     const bool fails = task.fails_once && run.number == 1;
     EndAfter(task.run_ms, worker, run,
              fails ? workflow::run_end::kFailed : workflow::run_end::kDone);
     return;
   }
-  auto& members = gangs[{run.task.job, run.task.step, run.number}].members;
+  gang_state& gang = gangs[{run.task.job, run.task.step, run.number}];
+  auto& members = gang.members;
   members.emplace_back(run, worker);
-  if (members.size() < step.count) return;
+  if (gang.broken || members.size() < step.count) {
+    clock.CallAt(clock.Now() + kGangWait, [this, &gang, worker, run,
+                                           count = step.count] {
+      const bool is_complete = !gang.broken && gang.members.size() == count;
+      if (!is_complete) End(worker, run, workflow::run_end::kGangIncomplete);
+    });
+    return;
+  }
   for (const auto& [member, at] : members) {
     EndAfter(task.run_ms, at, member, workflow::run_end::kDone);
   }
 }
 
+/// @return whether an order gets no answer.
+bool load_run::impl::IsLate() {
+  return settings.late_order_share > 0 &&
+         losses.Uniform() < settings.late_order_share;
+}
+
+awaitable<void> load_run::impl::WaitForLateOrder() {
+  const double delay_ms =
+      kMinOrderDelayMs +
+      losses.Uniform() * (kMaxOrderDelayMs - kMinOrderDelayMs);
+  co_await core::SleepFor(
+      clock, std::chrono::duration_cast<core::duration>(
+                 std::chrono::duration<double, std::milli>(delay_ms)));
+}
+
+awaitable<void> load_run::impl::StartLate(core::worker_id worker,
+                                          start_order order) {
+  co_await WaitForLateOrder();
+  CarryOut(worker, order);
+}
+
+awaitable<void> load_run::impl::StopLate(core::worker_id worker,
+                                         workflow::run_id run) {
+  co_await WaitForLateOrder();
+  CarryOutStop(worker, run);
+}
+
+order_result load_run::impl::CarryOut(const core::worker_id& worker,
+                                      const start_order& order) {
+  worker_state& state = workers[worker];
+  if (state.running.contains(order.run)) return order_done{clock.WallNow()};
+  const auto last = state.last_ended.find(order.run.task);
+  if (last != state.last_ended.end() && order.run.number <= last->second) {
+    return order_refused{refusal::kOldRun};
+  }
+  if (order.lease_until_ms <= clock.WallNow()) {
+    return order_refused{refusal::kLeaseExpired};
+  }
+  state.lease_until_ms = std::max(state.lease_until_ms, order.lease_until_ms);
+  Begin(worker, order.run);
+  return order_done{clock.WallNow()};
+}
+
+void load_run::impl::CarryOutStop(const core::worker_id& worker,
+                                  const workflow::run_id& run) {
+  std::uint32_t& last = workers[worker].last_ended[run.task];
+  last = std::max(last, run.number);
+  End(worker, run, workflow::run_end::kStopped);
+}
+
 awaitable<order_result> load_run::impl::Start(worker_target to,
-                                              start_order order, milliseconds) {
+                                              start_order order,
+                                              milliseconds timeout) {
+  if (IsLate()) {
+    Spawn(StartLate(to.key.id, std::move(order)));
+    co_await core::SleepFor(clock, timeout);
+    co_return no_answer{};
+  }
   co_await core::SleepFor(clock, settings.network_delay);
   ++starts;
-  Begin(to.key.id, order.run);
+  const order_result result = CarryOut(to.key.id, order);
   co_await core::SleepFor(clock, settings.network_delay);
-  co_return order_done{clock.WallNow()};
+  co_return result;
 }
 
 awaitable<order_result> load_run::impl::Stop(worker_target to, stop_order order,
-                                             milliseconds) {
+                                             milliseconds timeout) {
+  if (IsLate()) {
+    Spawn(StopLate(to.key.id, order.run));
+    co_await core::SleepFor(clock, timeout);
+    co_return no_answer{};
+  }
   co_await core::SleepFor(clock, settings.network_delay);
-  End(to.key.id, order.run, workflow::run_end::kStopped);
+  CarryOutStop(to.key.id, order.run);
   co_await core::SleepFor(clock, settings.network_delay);
   co_return order_done{clock.WallNow()};
 }
 
 awaitable<poll_result> load_run::impl::Poll(worker_target to, poll_order order,
-                                            milliseconds) {
+                                            milliseconds timeout) {
+  if (IsLate()) {
+    co_await core::SleepFor(clock, timeout);
+    co_return no_answer{};
+  }
   co_await core::SleepFor(clock, settings.network_delay);
   worker_state& state = workers[to.key.id];
+  if (order.lease_until_ms) {
+    state.lease_until_ms =
+        std::max(state.lease_until_ms, *order.lease_until_ms);
+  }
   std::erase_if(state.ended, [&](const ended_run& end) {
     return end.number <= order.recorded_ends;
   });
@@ -421,6 +555,7 @@
                        static_cast<double>(settings.workers);
   result.starts = starts;
   result.jobs = plans.size();
+  result.repeated_starts = repeated_starts;
   result.round_cpu_s = dispatch_metrics(registry).round_time.Sum();
   return result;
 }
@@ -470,6 +605,16 @@
   return run.Result();
 }
 
+load_settings Resize(load_settings load, std::size_t workers) {
+  const double factor =
+      static_cast<double>(workers) / static_cast<double>(load.workers);
+  load.workers = workers;
+  load.proxies = static_cast<std::size_t>(
+      std::ceil(static_cast<double>(load.proxies) * factor));
+  for (load_profile& profile : load.profiles) profile.jobs_per_s *= factor;
+  return load;
+}
+
 load_settings MakeTallyLoad() {
   const auto make_queue = [](std::string name, std::int32_t priority,
                              std::int64_t target_latency_ms, double stretch,
--- a/src/dispatch/load_fixture.h
+++ b/src/dispatch/load_fixture.h
@@ -50,12 +50,18 @@
   /// One way between the leader and a worker or a proxy, on average.
   core::milliseconds network_delay{6};
   core::milliseconds commit_time{24};
+  /// Share of the orders to workers that get no answer and are carried out
+  /// seconds later, after newer ones.
+  double late_order_share = 0;
   std::vector<load_profile> profiles;
 };
 
 /// The load of a cell of 350 workers at 81% of its capacity, with bursts.
 load_settings MakeTallyLoad();
 
+/// @return the same load on a cell of another size.
+load_settings Resize(load_settings load, std::size_t workers);
+
 /// Benefit that the jobs of a queue earned, as a share of what was possible.
 struct load_result {
   std::vector<double> earned_share;
@@ -64,6 +70,8 @@
   double utilization = 0;
   std::size_t starts = 0;
   std::size_t jobs = 0;
+  /// Starts of a task that was running, or had succeeded, at that time.
+  std::size_t repeated_starts = 0;
   /// Processor time of the rounds of placement.
   double round_cpu_s = 0;
 };
--- a/src/dispatch/load_test.cpp
+++ b/src/dispatch/load_test.cpp
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include <cmath>
+#include <string>
+
 #include "dispatch/load_fixture.h"
 #include "dispatch/load_report.h"
 
@@ -51,5 +54,41 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LoadTest, testing::Values(1, 2));
 
+/// Share of the orders that get no answer, and the share of the benefit that
+/// must still be earned.
+struct late_orders {
+  double share = 0;
+  double least_earned = 0;
+};
+
+class LateOrdersTest : public testing::TestWithParam<late_orders> {
+ protected:
+  LateOrdersTest() { spdlog::set_level(spdlog::level::warn); }
+  ~LateOrdersTest() override { spdlog::set_level(spdlog::level::info); }
+};
+
+// Guards against a cell that is idle while jobs wait, since each order without
+// an answer takes its worker out for seconds; and against two runs of a task
+// when such orders are carried out after newer ones.
+TEST_P(LateOrdersTest, LostAnswersDoNotTakeOutTheCell) {
+  load_settings load = Scale(Resize(MakeTallyLoad(), 100), 0.8);
+  load.late_order_share = GetParam().share;
+  const load_result result = load_run(load).Play();
+  EXPECT_GE(result.total_share, GetParam().least_earned);
+  EXPECT_EQ(result.repeated_starts, 0u);
+  RecordProperty("earned_percent", static_cast<int>(100 * result.total_share));
+}
+
+INSTANTIATE_TEST_SUITE_P(Shares, LateOrdersTest,
+                         testing::Values(late_orders{0.05, kTargetShare},
+                                         late_orders{0.1, kTargetShare},
+                                         late_orders{0.2, kTargetShare},
+                                         late_orders{0.5, kQueueFloor}),
+                         [](const auto& param) {
+                           const double percent = 100 * param.param.share;
+                           return "Percent" +
+                                  std::to_string(std::lround(percent));
+                         });
+
 }  // namespace
 }  // namespace mangoplank::dispatch
