Send orders again before their worker is doubted

Cause: an order whose answer was lost was not repeated. The worker was left out for 1.5 s, a gang was placed anew, and a lost poll hid ends for 2.8 s and made its worker unusable until the next one.

Change: start, stop and poll orders are sent up to five times within the 800 ms that they had before; all tries stay open until the first answer, so that a slow worker is not doubted sooner. The tries of a start carry the same run number and the same end of the lease. A start is not repeated once its run is stopped or no longer fits, on a draining worker, or after a connection has failed: the worker may have crashed, and its next incarnation must not get the task. A refusal after a try without an answer, other than `old`, does not resolve the run: the earlier try may still be carried out, so it is stopped. A run of which one try had no answer is stopped first in the next incarnation of its worker, also if another try was confirmed.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -160,8 +160,9 @@
 
 /// Moves a run of an earlier incarnation of a worker to the current one, which
 /// the start may have reached. The first poll shows whether a confirmed start
-/// did, before the incarnation was announced. A start without an answer may
-/// still reach it, so that the run is stopped.
+/// did, before the incarnation was announced. A start order without an answer
+/// may still reach it, also if the run was found or another try was confirmed,
+/// so that the run is stopped.
 void dispatcher::impl::TransferRun(const core::worker_id& id,
                                    const workflow::run_id& run,
                                    const tracked_run& previous) {
@@ -171,7 +172,8 @@
   transferred.stopping = false;
   tracked_run& tracked = monitor->runs.Add(run, std::move(transferred));
   run_monitors[run] = monitor;
-  if (previous.resolved_after_poll && !previous.stopping) {
+  if (previous.resolved_after_poll && !previous.stopping &&
+      !previous.may_arrive) {
     tracked.resolved_after_poll = 0;
     return;
   }
--- a/src/dispatch/dispatcher_fixture.h
+++ b/src/dispatch/dispatcher_fixture.h
@@ -20,14 +20,35 @@
 
 inline constexpr core::term kTerm = 4;
 
-/// Workers that refuse a number of stop orders as unhealthy.
+/// Workers that refuse a number of stop orders as unhealthy, and to which a
+/// number of orders is lost.
 class refusing_workers : public fake_workers {
  public:
   using fake_workers::fake_workers;
   int stop_refusals = 0;
-
+  /// Numbers of the next orders that get no answer.
+  int lost_starts = 0;
+  int lost_stops = 0;
+  int lost_polls = 0;
+
+  core::awaitable<order_result> Start(worker_target to, start_order order,
+                                      core::milliseconds timeout) override {
+    if (lost_starts > 0) {
+      --lost_starts;
+      starts.push_back(order);
+      co_await core::SleepFor(clock, timeout);
+      co_return no_answer{};
+    }
+    co_return co_await fake_workers::Start(to, order, timeout);
+  }
   core::awaitable<order_result> Stop(worker_target to, stop_order order,
                                      core::milliseconds timeout) override {
+    if (lost_stops > 0) {
+      --lost_stops;
+      stops.push_back(order);
+      co_await core::SleepFor(clock, timeout);
+      co_return no_answer{};
+    }
     if (stop_refusals > 0) {
       --stop_refusals;
       stops.push_back(order);
@@ -41,6 +62,12 @@
 
   core::awaitable<poll_result> Poll(worker_target to, poll_order order,
                                     core::milliseconds timeout) override {
+    if (lost_polls > 0) {
+      --lost_polls;
+      polls.push_back(order);
+      co_await core::SleepFor(clock, timeout);
+      co_return no_answer{};
+    }
     const bool is_delayed = order.wait.count() == 0 && poll_delay.count() > 0;
     auto result = co_await fake_workers::Poll(to, order, timeout);
     if (is_delayed) co_await core::SleepFor(clock, poll_delay);
@@ -123,10 +150,14 @@
     }
   }
 
+  /// @return the number of a job's runs that were ordered, each of them perhaps
+  /// several times.
   std::size_t CountStarts(const std::string& job) const {
-    return static_cast<std::size_t>(std::count_if(
-        workers_.starts.begin(), workers_.starts.end(),
-        [&](const start_order& order) { return order.run.task.job == job; }));
+    std::set<workflow::run_id> runs;
+    for (const start_order& order : workers_.starts) {
+      if (order.run.task.job == job) runs.insert(order.run);
+    }
+    return runs.size();
   }
   workflow::job_phase Phase(const std::string& job) const {
     return event_log_.state.FindJob(job)->phase;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -10,6 +10,7 @@
 
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/load_report.h"
+#include "dispatch/order_tries.h"
 #include "dispatch/planning_types.h"
 #include "mangoplank/dispatch/dispatcher.h"
 
@@ -17,8 +18,6 @@
 
 /// A worker that answers this long after the start of a run has survived it.
 inline constexpr core::milliseconds kStartTime{300};
-/// Time allowed for an answer beyond the wait of the order.
-inline constexpr core::milliseconds kOrderTimeout{800};
 /// Pause after an order without an answer.
 inline constexpr core::milliseconds kRetryPause{150};
 
@@ -129,6 +128,8 @@
 
   // worker_monitor.cpp: polls of one worker, its lease and its reports.
   core::awaitable<void> MonitorWorker(std::shared_ptr<worker_monitor> monitor);
+  core::awaitable<poll_result> SendPoll(std::shared_ptr<worker_monitor> monitor,
+                                        poll_order order);
   core::awaitable<bool> Poll(std::shared_ptr<worker_monitor> monitor,
                              core::milliseconds wait);
   core::awaitable<bool> OnReport(std::shared_ptr<worker_monitor> monitor,
@@ -151,10 +152,16 @@
 
   // run_orders.cpp: orders to start and stop the runs of one worker.
   core::awaitable<void> StartRun(planned_run planned);
+  core::awaitable<tried_order<order_result>> SendStart(
+      std::shared_ptr<worker_monitor> monitor, start_order order);
+  bool MayRepeatStart(const worker_monitor& monitor,
+                      const workflow::run_id& run);
   void RecordStart(const workflow::run_id& run, const worker_monitor& monitor);
   core::awaitable<void> ResolveStart(std::shared_ptr<worker_monitor> monitor,
                                      workflow::run_id run);
   core::awaitable<void> PollAfterStart(std::shared_ptr<worker_monitor> monitor);
+  core::awaitable<order_result> SendStop(
+      std::shared_ptr<worker_monitor> monitor, workflow::run_id run);
   core::awaitable<void> StopRun(std::shared_ptr<worker_monitor> monitor,
                                 workflow::run_id run);
   core::awaitable<void> RecordRunEnd(workflow::run_id run,
--- /dev/null
+++ b/src/dispatch/order_tries.h
@@ -0,0 +1,115 @@
+#ifndef MANGOPLANK_SRC_DISPATCH_ORDER_TRIES_H_
+#define MANGOPLANK_SRC_DISPATCH_ORDER_TRIES_H_
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "mangoplank/dispatch/ports.h"
+
+/// Orders that are sent again while they have no answer.
+namespace mangoplank::dispatch {
+
+/// Time allowed for an answer beyond the wait of the order, for all tries.
+inline constexpr core::milliseconds kOrderTimeout{800};
+/// Times of the further tries, beyond the wait of the order. An answer usually
+/// takes some 20 ms. With five tries a gang of 20 tasks mostly starts even if
+/// half of the orders get no answer.
+inline constexpr std::array kFurtherTries{
+    core::milliseconds(150), core::milliseconds(300), core::milliseconds(450),
+    core::milliseconds(600)};
+
+/// Result of an order with several tries.
+template <class Result>
+struct tried_order {
+  /// The first answer to any try; no_answer if none had one in time.
+  Result result;
+  /// Whether a try had no answer: it may be carried out later.
+  bool may_arrive = false;
+
+  friend bool operator==(const tried_order&, const tried_order&) = default;
+};
+
+/// The tries of one order. A worker that is slow may still answer an earlier
+/// try while a later one is on its way, so that all of them stay open until the
+/// first answer. A connection that fails ends the order: the worker may have
+/// crashed, and its next incarnation must not get the order.
+template <class Result>
+class order_tries : public std::enable_shared_from_this<order_tries<Result>> {
+ public:
+  order_tries(boost::asio::any_io_executor executor, core::clock& clock,
+              core::milliseconds wait)
+      : executor_(executor),
+        clock_(clock),
+        wait_(wait),
+        begin_(clock.Now()),
+        deadline_(begin_ + wait + kOrderTimeout),
+        changed_(std::move(executor), clock) {}
+
+  /// @param send sends the order once: it is called with the time allowed for
+  /// the answer and whether this is a further try.
+  /// @param may_repeat whether a further try may be sent now.
+  template <class Send, class MayRepeat>
+  core::awaitable<tried_order<Result>> Run(Send send, MayRepeat may_repeat) {
+    const auto self = this->shared_from_this();
+    SendOnce(send, false);
+    for (const core::milliseconds offset : kFurtherTries) {
+      co_await WaitUntil(begin_ + wait_ + offset);
+      if (answer_ || failed_) break;
+      if (may_repeat()) SendOnce(send, true);
+    }
+    co_await WaitUntil(deadline_);
+    if (!answer_) co_return tried_order<Result>{no_answer{}, true};
+    co_return tried_order<Result>{std::move(*answer_), sent_ > answers_};
+  }
+
+ private:
+  template <class Send>
+  void SendOnce(const Send& send, bool is_repeated) {
+    ++sent_;
+    boost::asio::co_spawn(executor_,
+                          Try(this->shared_from_this(), send, is_repeated),
+                          boost::asio::detached);
+  }
+
+  template <class Send>
+  static core::awaitable<void> Try(std::shared_ptr<order_tries> self, Send send,
+                                   bool is_repeated) {
+    const auto timeout = std::chrono::duration_cast<core::milliseconds>(
+        self->deadline_ - self->clock_.Now());
+    const core::time_point try_deadline = self->clock_.Now() + timeout;
+    Result result = co_await send(timeout, is_repeated);
+    if (!std::holds_alternative<no_answer>(result)) {
+      ++self->answers_;
+      if (!self->answer_) self->answer_ = std::move(result);
+    } else if (self->clock_.Now() < try_deadline) {
+      self->failed_ = true;
+    }
+    self->changed_.NotifyAll();
+  }
+
+  /// Returns earlier if the order has an answer or has failed.
+  core::awaitable<void> WaitUntil(core::time_point time) {
+    while (!answer_ && !failed_ && clock_.Now() < time) {
+      co_await changed_.WaitUntil(time);
+    }
+  }
+
+  const boost::asio::any_io_executor executor_;
+  core::clock& clock_;
+  const core::milliseconds wait_;
+  const core::time_point begin_;
+  const core::time_point deadline_;
+  core::event changed_;
+  std::optional<Result> answer_;
+  bool failed_ = false;
+  unsigned sent_ = 0;
+  unsigned answers_ = 0;
+};
+
+}  // namespace mangoplank::dispatch
+
+#endif  // MANGOPLANK_SRC_DISPATCH_ORDER_TRIES_H_
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -48,12 +48,13 @@
   order.checkpoint =
       job->tasks[*job->FindTaskIndex(planned.run.task)].checkpoint;
   monitor->wakeup.NotifyAll();
-  const worker_target to = TargetOf(*monitor);
-  const auto result =
-      co_await workers.Start(to, std::move(order), kOrderTimeout);
+  tracked->may_arrive = true;
+  const auto [result, may_arrive] =
+      co_await SendStart(monitor, std::move(order));
   if (stopped || monitor->removed) co_return;
   tracked = monitor->runs.Find(planned.run);
   if (tracked == nullptr) co_return;
+  tracked->may_arrive = may_arrive;
   const auto* const done = std::get_if<order_done>(&result);
   if (done != nullptr && !IsClockOfOtherIncarnation(*monitor, done->clock_ms)) {
     UpdateClock(*monitor, done->clock_ms, reading_source::kAnswer);
@@ -75,8 +76,11 @@
         refused->reason == refusal::kNoCapacity) {
       monitor->avoid_until = clock.Now() + kAvoidanceTime;
     }
-    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
-    co_return;
+    // The worker may still carry out a try that it has not answered.
+    if (!may_arrive) {
+      co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+      co_return;
+    }
   }
   if (std::holds_alternative<other_incarnation>(result)) {
     std::string reason = "another incarnation refused a start";
@@ -92,6 +96,34 @@
   co_await ResolveStart(monitor, planned.run);
 }
 
+/// Sends a start order, again under the same run number while it has no answer.
+awaitable<tried_order<order_result>> dispatcher::impl::SendStart(
+    std::shared_ptr<worker_monitor> monitor, start_order order) {
+  const auto self = shared_from_this();
+  const workflow::run_id run = order.run;
+  const auto tries = std::make_shared<order_tries<order_result>>(
+      executor, clock, core::milliseconds(0));
+  const auto send = [self, to = TargetOf(*monitor), order = std::move(order)](
+                        core::milliseconds timeout, bool) {
+    return self->workers.Start(to, order, timeout);
+  };
+  const auto may_repeat = [this, &monitor, &run] {
+    return MayRepeatStart(*monitor, run);
+  };
+  co_return co_await tries->Run(send, may_repeat);
+}
+
+/// @return whether a start without an answer may be sent again: the capacity
+/// may have shrunk, or the run may have been stopped since.
+bool dispatcher::impl::MayRepeatStart(const worker_monitor& monitor,
+                                      const workflow::run_id& run) {
+  if (stopped || monitor.removed || monitor.worker.draining) return false;
+  const auto tracked = monitor.runs.Runs().find(run);
+  return tracked != monitor.runs.Runs().end() && !tracked->second.stopping &&
+         IsAssignedTo(run, monitor) &&
+         monitor.worker.capacity.Holds(monitor.runs.Ordered());
+}
+
 void dispatcher::impl::RecordStart(const workflow::run_id& run,
                                    const worker_monitor& monitor) {
   spdlog::info("run_started run={} worker={} born={}", Name(run),
@@ -118,6 +150,24 @@
   co_await StopRun(monitor, run);
 }
 
+/// Sends a stop order, again while it has no answer.
+awaitable<order_result> dispatcher::impl::SendStop(
+    std::shared_ptr<worker_monitor> monitor, workflow::run_id run) {
+  const auto self = shared_from_this();
+  const auto tries = std::make_shared<order_tries<order_result>>(
+      executor, clock, core::milliseconds(0));
+  const auto send = [self, to = TargetOf(*monitor),
+                     order = stop_order{term, run}](core::milliseconds timeout,
+                                                    bool) {
+    return self->workers.Stop(to, order, timeout);
+  };
+  const auto may_repeat = [this, &monitor, &run] {
+    return !stopped && !monitor->removed && monitor->runs.Contains(run);
+  };
+  auto tried = co_await tries->Run(send, may_repeat);
+  co_return std::move(tried.result);
+}
+
 /// Sends stop orders for a run until the worker confirms, then polls for the
 /// end of the run.
 awaitable<void> dispatcher::impl::StopRun(
@@ -127,9 +177,7 @@
   if (tracked == nullptr || tracked->stopping) co_return;
   monitor->runs.SetStopping(*tracked);
   while (!stopped && !monitor->removed && monitor->runs.Contains(run)) {
-    const worker_target to = TargetOf(*monitor);
-    const stop_order order{term, run};
-    const auto result = co_await workers.Stop(to, order, kOrderTimeout);
+    const auto result = co_await SendStop(monitor, run);
     if (stopped || monitor->removed) co_return;
     if (std::holds_alternative<other_incarnation>(result)) {
       std::string reason = "another incarnation refused a stop";
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -25,6 +25,9 @@
   core::time_point tracked_since;
   /// A start order was sent; always set for runs of an earlier leader.
   bool ordered = false;
+  /// A start order is on its way, or had no answer: it may still be carried
+  /// out, also by a later incarnation of the worker.
+  bool may_arrive = false;
   /// Time at which the worker confirmed the start or first listed the run.
   std::optional<core::time_point> started_at;
   /// Number of polls sent when the worker confirmed the start or a stop, or 0
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -133,6 +133,27 @@
   }
 }
 
+/// Sends a poll, again and without a wait while it has no answer: a lost answer
+/// hides ends. The lease is the same in all tries.
+awaitable<poll_result> dispatcher::impl::SendPoll(
+    std::shared_ptr<worker_monitor> monitor, poll_order order) {
+  const auto self = shared_from_this();
+  const auto tries =
+      std::make_shared<order_tries<poll_result>>(executor, clock, order.wait);
+  const auto send = [self, to = TargetOf(*monitor), order](
+                        core::milliseconds timeout, bool is_repeated) {
+    poll_order next = order;
+    if (is_repeated) next.wait = core::milliseconds(0);
+    ++self->load.polls;
+    return self->workers.Poll(to, next, timeout);
+  };
+  const auto may_repeat = [this, &monitor] {
+    return !stopped && !monitor->removed;
+  };
+  auto tried = co_await tries->Run(send, may_repeat);
+  co_return std::move(tried.result);
+}
+
 /// @return whether the worker answered.
 awaitable<bool> dispatcher::impl::Poll(std::shared_ptr<worker_monitor> monitor,
                                        core::milliseconds wait) {
@@ -143,11 +164,9 @@
     order.lease_until_ms = NextLeaseEndMs(*monitor);
   }
   const std::uint64_t poll_number = ++monitor->polls_sent;
-  ++load.polls;
   const std::uint64_t acknowledged = order.recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
-  const worker_target to = TargetOf(*monitor);
-  auto result = co_await workers.Poll(to, order, wait + kOrderTimeout);
+  auto result = co_await SendPoll(monitor, order);
   if (stopped || monitor->removed) co_return false;
   if (auto* const report = std::get_if<worker_report>(&result)) {
     monitor->acknowledged_ends =
