Wait for late orders to an earlier incarnation before a lease ends

Callers would see: a task at work twice (TWICE; found by review, no run on real programs showed it). Cause: an order without an answer may be carried out up to 12 s later, also by the worker's next incarnation under the same id. Its lease is a time on the earlier clock, so that the next incarnation grants its longest lease at that moment. Change: a monitor notes until when unanswered orders may be carried out, and the lease of a next incarnation counts from that time. Conclusion: the end of a lease holds across incarnations of one id.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -147,13 +147,13 @@
     const auto former = monitors.extract(id).mapped();
     const auto worker = known.find(id);
     if (worker == known.end()) continue;
-    AddWorker(worker->second);
+    AddWorker(worker->second, former->orders_settled_at);
     for (const auto& [run, tracked] : former->runs.Runs()) {
       TransferRun(id, run, tracked);
     }
   }
   for (const auto& [id, worker] : known) {
-    if (!monitors.contains(id)) AddWorker(worker);
+    if (!monitors.contains(id)) AddWorker(worker, {});
   }
   RequestRound();
 }
@@ -181,7 +181,11 @@
   Spawn(StopRun(monitor, run));
 }
 
-void dispatcher::impl::AddWorker(const workflow::worker& worker) {
+/// @param orders_settled_at until then, orders to an earlier incarnation may
+/// reach this one. Their leases are times on the clock of the earlier one, so
+/// that this one may grant its longest lease when it carries them out.
+void dispatcher::impl::AddWorker(const workflow::worker& worker,
+                                 core::time_point orders_settled_at) {
   worker_slot slot = static_cast<worker_slot>(monitors.size());
   if (!free_slots.empty()) {
     slot = free_slots.back();
@@ -190,7 +194,8 @@
   const auto monitor =
       std::make_shared<worker_monitor>(worker, slot, executor, clock);
   // An earlier leader may have renewed the lease until this term began.
-  monitor->lease_end = std::max(clock.Now(), term_start) +
+  monitor->orders_settled_at = orders_settled_at;
+  monitor->lease_end = std::max({clock.Now(), term_start, orders_settled_at}) +
                        std::chrono::duration_cast<core::duration>(
                            settings.max_lease * (1 + settings.clock_drift));
   monitor->last_heard = clock.Now();
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -18,6 +18,8 @@
 
 /// A worker that answers this long after the start of a run has survived it.
 inline constexpr core::milliseconds kStartTime{300};
+/// Longest time after which an order without an answer may be carried out.
+inline constexpr core::milliseconds kMaxOrderDelay{12'000};
 /// Pause after an order without an answer.
 inline constexpr core::milliseconds kRetryPause{150};
 
@@ -71,6 +73,8 @@
   core::time_point answered_at;
   /// A report does not agree with the known clock; an answer decides.
   bool clock_in_doubt = false;
+  /// Time by which no order without an answer can be carried out any more.
+  core::time_point orders_settled_at{};
   /// Time by which the lease has provably ended.
   core::time_point lease_end;
   /// Time of the last heartbeat or answer.
@@ -112,7 +116,8 @@
   void AdoptRuns();
   void TransferRun(const core::worker_id& id, const workflow::run_id& run,
                    const tracked_run& previous);
-  void AddWorker(const workflow::worker& worker);
+  void AddWorker(const workflow::worker& worker,
+                 core::time_point orders_settled_at);
   void TrackJob(const workflow::job& job);
   void OnRunEnded(const workflow::run_ended& event);
   void UpdateStatistics(worker_monitor& monitor, const workflow::run_id& run,
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -110,7 +110,11 @@
   const auto may_repeat = [this, &monitor, &run] {
     return MayRepeatStart(*monitor, run);
   };
-  co_return co_await tries->Run(send, may_repeat);
+  auto tried = co_await tries->Run(send, may_repeat);
+  if (tried.may_arrive) {
+    monitor->orders_settled_at = clock.Now() + kMaxOrderDelay;
+  }
+  co_return tried;
 }
 
 /// @return whether a start without an answer may be sent again: the capacity
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -197,6 +197,9 @@
     return !stopped && !monitor->removed;
   };
   auto tried = co_await tries->Run(send, may_repeat);
+  if (tried.may_arrive) {
+    monitor->orders_settled_at = clock.Now() + kMaxOrderDelay;
+  }
   co_return std::move(tried.result);
 }
 
