End a start with its own lease when polls are answered

Callers saw: a job that waits for as long as its worker answers polls and no start or stop (LOST; found by review). Cause: the same class: answers to polls renewed the worker's lease, and the start without an answer waited for an answered stop. Change: a start keeps the time by which the worker refuses it as late. A poll that is sent after that resolves the run: if it is not listed, it was not started.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -178,6 +178,7 @@
     return;
   }
   tracked.resolved_after_poll.reset();
+  tracked.start_expires = monitor->lease_end;
   Spawn(StopRun(monitor, run));
 }
 
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -144,6 +144,7 @@
   core::awaitable<void> MonitorWorker(std::shared_ptr<worker_monitor> monitor);
   core::awaitable<poll_result> SendPoll(std::shared_ptr<worker_monitor> monitor,
                                         poll_order order);
+  void ResolveExpiredStarts(worker_monitor& monitor) const;
   core::awaitable<bool> Poll(std::shared_ptr<worker_monitor> monitor,
                              core::milliseconds wait);
   core::awaitable<bool> OnReport(std::shared_ptr<worker_monitor> monitor,
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -48,6 +48,7 @@
   order.checkpoint =
       job->tasks[*job->FindTaskIndex(planned.run.task)].checkpoint;
   monitor->wakeup.NotifyAll();
+  tracked->start_expires = monitor->lease_end;
   tracked->may_arrive = true;
   const auto [result, may_arrive] =
       co_await SendStart(monitor, std::move(order));
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -34,6 +34,8 @@
   /// if an earlier leader recorded the run; unset until then. If a later poll
   /// does not list the run, the worker does not have it.
   std::optional<std::uint64_t> resolved_after_poll;
+  /// Time by which the worker refuses the start as late.
+  core::time_point start_expires{};
   /// How the run ends if it is not found on the worker's next incarnation.
   std::optional<workflow::run_end> loss;
   bool stopping = false;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -203,6 +203,19 @@
   co_return std::move(tried.result);
 }
 
+/// A worker may answer polls and no other order. A start whose lease has ended
+/// is refused as late, so that a poll sent from now on shows whether the worker
+/// has the run.
+void dispatcher::impl::ResolveExpiredStarts(worker_monitor& monitor) const {
+  for (const auto& [run, tracked] : monitor.runs.Runs()) {
+    if (!tracked.ordered || tracked.resolved_after_poll ||
+        clock.Now() <= tracked.start_expires) {
+      continue;
+    }
+    monitor.runs.Find(run)->resolved_after_poll = monitor.polls_sent;
+  }
+}
+
 /// @return whether the worker answered.
 awaitable<bool> dispatcher::impl::Poll(std::shared_ptr<worker_monitor> monitor,
                                        core::milliseconds wait) {
@@ -212,6 +225,7 @@
   if (!monitor->runs.IsEmpty() && !monitor->unanswered) {
     order.lease_until_ms = NextLeaseEndMs(*monitor);
   }
+  ResolveExpiredStarts(*monitor);
   const std::uint64_t poll_number = ++monitor->polls_sent;
   const std::uint64_t acknowledged = order.recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
