End a run that was never ordered when its worker restarts

Callers saw: a task held for as long as a restarted worker answers nothing (LOST; a small window, found by review). Cause: the run was assigned to the earlier incarnation, and its start order was given up as that one had ended. Nothing ended the run. Change: a transferred run without an order is recorded as not started.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -167,6 +167,10 @@
                                    const workflow::run_id& run,
                                    const tracked_run& previous) {
   if (!event_log.State().IsAssigned(run)) return;
+  if (!previous.ordered) {
+    Spawn(RecordRunEnd(run, workflow::run_end::kNotStarted));
+    return;
+  }
   const auto& monitor = monitors[id];
   tracked_run transferred = previous;
   transferred.stopping = false;
