Take no answering worker for one that does not answer

Cause: MonitorWorker took a report whose ends could not be recorded for a poll without an answer. After a freeze of the leader it could so record a run as lapsed whose end as done that very report listed (found by review, argued, no test). Change: runs lapse only if the last poll had no answer.

--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -171,7 +171,8 @@
     // A heartbeat decides only whether the worker is still there; its runs end
     // with their lease. One that was sent after the lease shows that they were
     // not lost in a crash.
-    if (had_lapsed && monitor->last_heard > monitor->lease_end) {
+    if (had_lapsed && monitor->unanswered &&
+        monitor->last_heard > monitor->lease_end) {
       co_await EndLapsedRuns(monitor);
       if (stopped || monitor->removed) co_return;
     }
