Check other workers for a late gang that can't fit on the known ones

Cause: a late gang may not reserve capacity, and only a gang that may asked for workers whose eligibility is unknown, unless it had no ticket at all. An expired one counted. With too few eligible workers it waited for good. Change: a gang that would not fit on its eligible workers if they were empty asks for others, late or not.

--- a/src/dispatch/eligibility_checks.cpp
+++ b/src/dispatch/eligibility_checks.cpp
@@ -224,8 +224,10 @@
     return;
   }
   const bool needs_more_workers = gang.max_tasks < tasks * kCapacityFactor;
+  // Without others it could never start, also one that is late.
+  const bool is_unplaceable = view.tickets.empty() || gang.max_tasks < tasks;
   std::vector<check_candidate> named;
-  if (view.tickets.empty() || (gang.may_reserve && needs_more_workers)) {
+  if (is_unplaceable || (gang.may_reserve && needs_more_workers)) {
     named = FindUnknown(step, view, pool);
   }
   if (named.empty() && gang.may_reserve && gang.max_tasks >= tasks) {
