Name the tests of lapsed runs for what they guard

Cause: LapseReviewTest named the occasion on which the tests were written. Change: LapsedRunTest, in lapsed_run_test.cpp; nothing else changed. Conclusion: a name only.

--- a/src/dispatch/lapse_review_test.cpp
+++ b/src/dispatch/lapsed_run_test.cpp
@@ -8,7 +8,7 @@
 constexpr milliseconds kMaxOrderDelay{12'000};
 
 /// Workers whose heartbeats go on, whatever orders they answer.
-class LapseReviewTest : public DispatcherTest {
+class LapsedRunTest : public DispatcherTest {
  protected:
   void RunWithHeartbeats(core::duration duration) {
     const core::time_point end = clock_.Now() + duration;
@@ -38,7 +38,7 @@
 // answer is carried out 12 s later by the worker's next incarnation. Its lease
 // is a time on the earlier incarnation's clock, so that the next one does not
 // refuse it as late. No stop of the run was answered, so that it may start.
-TEST_F(LapseReviewTest, AStartForAnEarlierIncarnationOutlastsTheLease) {
+TEST_F(LapsedRunTest, AStartForAnEarlierIncarnationOutlastsTheLease) {
   AddWorker("w1");
   BeginTerm();
   RunWithHeartbeats(seconds(1));
@@ -59,7 +59,7 @@
 // the poll had no answer and is carried out by the worker's next incarnation.
 // The lease that it carries is a time on the earlier incarnation's clock, so
 // that the next one grants its longest lease from that moment.
-TEST_F(LapseReviewTest, APollForAnEarlierIncarnationRenewsTheLeaseLate) {
+TEST_F(LapsedRunTest, APollForAnEarlierIncarnationRenewsTheLeaseLate) {
   AddWorker("w1");
   BeginTerm();
   Submit("i", {Step(1, 1'000)}, queue_);
@@ -88,7 +88,7 @@
 // Guards against members of a gang that start with different checkpoints: one
 // lapsed with the last value that was reported, the others ended with a later
 // one. All members of a run must carry the same value.
-TEST_F(LapseReviewTest, MembersOfAGangRestartWithOneCheckpoint) {
+TEST_F(LapsedRunTest, MembersOfAGangRestartWithOneCheckpoint) {
   for (int i = 1; i <= 4; ++i) AddWorker("w" + std::to_string(i), 1, 1'000);
   BeginTerm();
   workflow::step gang = Step(3, 1'000);
@@ -118,7 +118,7 @@
 // Guards against a job that waits for as long as its worker answers polls and
 // carries out no start and no stop: the answered polls renew the lease, so that
 // it never ends, and the run is never listed. The order's own lease ends.
-TEST_F(LapseReviewTest, AWorkerThatAnswersOnlyPollsDoesNotHoldATask) {
+TEST_F(LapsedRunTest, AWorkerThatAnswersOnlyPollsDoesNotHoldATask) {
   AddWorker("w1");
   BeginTerm();
   workers_.on_start = [](const worker_target& to, const start_order&) {
@@ -137,7 +137,7 @@
 
 // Guards against a task that is held for as long as a restarted worker answers
 // no order: its run was assigned to the earlier incarnation and never ordered.
-TEST_F(LapseReviewTest, ATransferredRunThatWasNeverOrderedEnds) {
+TEST_F(LapsedRunTest, ATransferredRunThatWasNeverOrderedEnds) {
   AddWorker("w1");
   BeginTerm();
   RunWithHeartbeats(seconds(1));
@@ -158,7 +158,7 @@
 // Guards against a late gang that is never checked again: one of its eligible
 // workers has fallen mute, and the eligible workers that are free have room for
 // it twice over, but most of them have joined later and were not checked.
-TEST_F(LapseReviewTest, ALateGangChecksUnknownWorkersAfterALapse) {
+TEST_F(LapsedRunTest, ALateGangChecksUnknownWorkersAfterALapse) {
   queue_.eligibility = workflow::eligibility_policy{10, 1, 1'500};
   for (int i = 1; i <= 20; ++i) {
     const std::string id = "w" + std::to_string(i);
@@ -189,7 +189,7 @@
 // Guards against taking a crash for the end of a lease: the worker crashed
 // after its last heartbeat, which arrived shortly before the lease ended, so
 // that it is not silent yet at that moment.
-TEST_F(LapseReviewTest, ACrashShortlyBeforeTheEndOfTheLeaseCounts) {
+TEST_F(LapsedRunTest, ACrashShortlyBeforeTheEndOfTheLeaseCounts) {
   AddWorker("w1");
   AddWorker("w2");
   BeginTerm();
@@ -206,7 +206,7 @@
 
 // Guards against showing a job as running although no worker has confirmed a
 // start, after the lease of its unconfirmed run has ended.
-TEST_F(LapseReviewTest, AJobWithoutAConfirmedStartStaysQueuedAfterTheLapse) {
+TEST_F(LapsedRunTest, AJobWithoutAConfirmedStartStaysQueuedAfterTheLapse) {
   AddWorker("w1");
   BeginTerm();
   RunWithHeartbeats(seconds(1));
@@ -221,7 +221,7 @@
 // Guards against a second run after a freeze of the leader in which heartbeats
 // gather: a run must not end before the lease of every order to its worker has
 // ended on the worker's slow clock.
-TEST_F(LapseReviewTest, AFreezeEndsNoLeaseEarly) {
+TEST_F(LapsedRunTest, AFreezeEndsNoLeaseEarly) {
   workers_.clock_rate = 0.98;
   AddWorker("w1");
   AddWorker("w2");
