Refuse votes of a member that has joined and knows no members

Cause: until a cell has recorded the disk ids of its members, nothing tells a member that joined with an empty disk from the one that voted and acknowledged entries before. Its vote elected a leader without a committed entry. Change: a member that has joined and has not received the members yet grants neither votes nor pre-votes. Measured: NodeTest.AMemberThatJoinsDoesNotVoteBeforeItKnowsTheMembers failed before the change (a leader by the vote of an empty disk) and passes after it. Conclusion: a disk lost within the first moments of a new cell could lose a committed entry; it can't by this path any more.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -169,7 +169,7 @@
       IsLeader() ||
       clock.Now() < last_leader_contact + settings.election_timeout;
   if (may_back_lease && !request.transfer) co_return reply;
-  if (request.term < hard_state.term ||
+  if (request.term < hard_state.term || !KnowsMembers() ||
       HasOtherDiskId(request.candidate, request.disk_id)) {
     co_return reply;
   }
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -260,6 +260,10 @@
   membership MembershipAt(core::revision revision) const;
   const member* FindMember(const core::member_id& id) const;
   bool IsVoter() const;
+  /// @return false for a member that has joined with an empty disk and received
+  /// nothing yet. Its vote could stand for entries that a lost disk had, in a
+  /// cell that has not recorded its disk id yet.
+  bool KnowsMembers() const { return !CurrentMembership().members.empty(); }
   bool CanCampaign() const;
   bool IsMembershipChangeInProgress() const;
   bool HasOtherDiskId(const core::member_id& id, std::uint64_t disk_id) const;
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -368,6 +368,21 @@
   }
 }
 
+// Guards against the loss of committed entries in a new cell: until the disk
+// ids are recorded, nothing tells a lost disk's member from the one that voted.
+TEST(NodeTest, AMemberThatJoinsDoesNotVoteBeforeItKnowsTheMembers) {
+  fake_cluster cluster(3, 34);
+  cluster.members[0]->joins = true;
+  cluster.Start(0);
+  cluster.Start(1);
+  cluster.RunFor(seconds(10));
+  EXPECT_FALSE(cluster.Leader());
+  cluster.Start(2);
+  EXPECT_NE(cluster.AwaitLeader(), 0u);
+  cluster.RunFor(seconds(2));
+  EXPECT_EQ(cluster.At(0).Status().members, cluster.At(1).Status().members);
+}
+
 // Guards against a follower that never catches up: a heartbeat received right
 // after a mismatching append cleared the mismatch before it was reported, and
 // the leader waited for that reply.
