Tell by its clock when a sign of life was sent

A heartbeat that was sent before a start and arrived 300 ms or more after it counted as proof that the worker had survived the start, so that a task which crashes its workers was not suspected. And one that was sent seconds ago made the capacity count as recent. The worker's clock in each heartbeat and answer tells when it was sent: last_alive, on which HasSurvivedStart rests, and last_reported are times of sending. last_heard stays the time of arrival.

AJobIsQueuedUntilAWorkerConfirmsAStart sent the same heartbeat, with a clock of 5 s before, again; the second one now carries the present clock.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -192,6 +192,7 @@
                        std::chrono::duration_cast<core::duration>(
                            settings.max_lease * (1 + settings.clock_drift));
   monitor->last_heard = clock.Now();
+  monitor->last_alive = clock.Now();
   monitor->last_reported = clock.Now();
   monitors[worker.key.id] = monitor;
   Spawn(MonitorWorker(monitor));
@@ -312,8 +313,10 @@
   CheckClock(*it->second, clock_ms);
   // It may be another writer's.
   if (!IsPossibleClock(*it->second, clock_ms)) return;
-  UpdateClock(*it->second, clock_ms, reading_source::kReport);
-  it->second->last_reported = clock.Now();
+  worker_monitor& monitor = *it->second;
+  monitor.last_reported =
+      std::max(monitor.last_reported, SentAt(monitor, clock_ms));
+  UpdateClock(monitor, clock_ms, reading_source::kReport);
 }
 
 /// Records events together with the jobs that have started since, and how long
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -76,8 +76,11 @@
   core::time_point lease_end;
   /// Time of the last heartbeat or answer.
   core::time_point last_heard;
-  /// Time of the last heartbeat. Answers show neither the capacity nor a drain,
-  /// so that they don't renew it.
+  /// Latest time at which the worker is known to have been alive: when the last
+  /// heartbeat or answer was sent.
+  core::time_point last_alive;
+  /// Time at which the last heartbeat was sent. Answers show neither the
+  /// capacity nor a drain, so that they don't renew it.
   core::time_point last_reported;
   /// The worker gets no new tasks before this time.
   core::time_point avoid_until{};
@@ -155,6 +158,8 @@
                    reading_source source);
   std::int64_t MinClockMs(const worker_monitor& monitor,
                           core::time_point time) const;
+  core::time_point SentAt(const worker_monitor& monitor,
+                          std::int64_t clock_ms) const;
   bool IsPossibleClock(const worker_monitor& monitor,
                        std::int64_t clock_ms) const;
   void CheckClock(worker_monitor& monitor, std::int64_t clock_ms);
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -64,6 +64,7 @@
       Handle(Get("/q/1")),
       workflow::answer_body(workflow::job_view{workflow::job_phase::kQueued}));
   workers_.silent.clear();
+  heartbeat.clock_ms = workers_.ClockMs();
   Handle(heartbeat);
   cluster_.RunFor(seconds(5));
   EXPECT_EQ(Handle(Get("/q/")), workflow::answer_body(workflow::queue_view{0}));
--- a/src/dispatch/sign_of_life_test.cpp
+++ b/src/dispatch/sign_of_life_test.cpp
@@ -123,5 +123,63 @@
   EXPECT_EQ(CountStarts("next"), 1u);
 }
 
+// Guards against a heartbeat that was sent before a start and arrives late: it
+// does not show that the worker has survived the start, and a task that crashes
+// its workers would not be suspected.
+TEST_F(SignOfLifeTest, ALateHeartbeatDoesNotShowThatAStartWasSurvived) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  RunWithHeartbeats(seconds(1));
+  const std::int64_t sent_before_start = workers_.ClockMs();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  ASSERT_EQ(CountStarts("j"), 1u);
+  workers_.silent.insert(w1.id);
+  ++workers_.interruptions[w1.id];
+  RunFor(milliseconds(400));
+  dispatcher_->OnHeartbeat(w1, sent_before_start);
+  workers_.states[w1.id] = {};
+  workers_.silent.clear();
+  AddWorker(w1.id.v, w1.incarnation + 1);
+  RunFor(milliseconds(200));
+  EXPECT_TRUE(event_log_.state.FindJob("j")->tasks[0].suspected);
+}
+
+// The same with a heartbeat that was sent after the start.
+TEST_F(SignOfLifeTest, AHeartbeatAfterAStartShowsThatItWasSurvived) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  RunWithHeartbeats(seconds(1));
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(100));
+  ASSERT_EQ(CountStarts("j"), 1u);
+  workers_.silent.insert(w1.id);
+  ++workers_.interruptions[w1.id];
+  RunFor(milliseconds(400));
+  dispatcher_->OnHeartbeat(w1, workers_.ClockMs());
+  workers_.states[w1.id] = {};
+  workers_.silent.clear();
+  AddWorker(w1.id.v, w1.incarnation + 1);
+  RunFor(milliseconds(200));
+  ASSERT_EQ(event_log_.state.FindJob("j")->tasks[0].losses, 1u);
+  EXPECT_FALSE(event_log_.state.FindJob("j")->tasks[0].suspected);
+}
+
+// Guards against a capacity that is taken for recent because its heartbeat has
+// arrived now: it was sent long ago, and later ones have failed.
+TEST_F(SignOfLifeTest, ALateHeartbeatDoesNotShowThatTheCapacityIsStillTheSame) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  Submit("active", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(1));
+  const std::int64_t sent = workers_.ClockMs();
+  unreported_.insert(w1.id);
+  RunWithHeartbeats(kSilenceTime);
+  dispatcher_->OnHeartbeat(w1, sent);
+  Submit("next", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(1));
+  EXPECT_EQ(CountStarts("next"), 0u);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -14,11 +14,11 @@
 
 }  // namespace
 
-/// @return whether the worker was heard of that long after the run had started.
+/// @return whether the worker was alive that long after the run had started.
 bool dispatcher::impl::HasSurvivedStart(const worker_monitor& monitor,
                                         const tracked_run& tracked,
                                         core::milliseconds time) const {
-  return tracked.started_at && monitor.last_heard >= *tracked.started_at + time;
+  return tracked.started_at && monitor.last_alive >= *tracked.started_at + time;
 }
 
 /// Attributes the loss of a worker that was not draining to the runs that it
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -27,6 +27,8 @@
 constexpr core::milliseconds kMaxReadingAge = kPollWait + kOrderTimeout;
 /// Allowed difference of two readings of one clock in addition to its drift.
 constexpr core::milliseconds kClockSlack{2'000};
+/// Longest delay of a reading that is told from a longer one.
+constexpr core::milliseconds kMaxDelay{60'000};
 /// Maximum number of ends in one report; a full list may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -58,25 +60,36 @@
 void dispatcher::impl::UpdateClock(worker_monitor& monitor,
                                    std::int64_t clock_ms,
                                    reading_source source) {
-  monitor.last_heard = clock.Now();
-  const bool is_first_answer = !monitor.answered_clock_ms;
+  const core::time_point now = clock.Now();
+  const core::time_point sent_at = SentAt(monitor, clock_ms);
+  // A delayed report must not set the clock back. An answer is delayed by less
+  // than its time-out; one further behind shows that the known reading was not
+  // the worker's.
+  const bool is_correction =
+      source == reading_source::kAnswer &&
+      (!monitor.answered_clock_ms || sent_at < now - kMaxReadingAge);
+  monitor.last_heard = now;
+  monitor.last_alive =
+      std::max(monitor.last_alive, is_correction ? now : sent_at);
   if (source == reading_source::kAnswer) {
     monitor.answered_clock_ms = clock_ms;
-    monitor.answered_at = clock.Now();
+    monitor.answered_at = now;
     monitor.clock_in_doubt = false;
   }
-  if (monitor.clock_ms) {
-    const std::int64_t behind = MinClockMs(monitor, clock.Now()) - clock_ms;
-    // A delayed report must not set the clock back. An answer is delayed by
-    // less than its time-out; one further behind shows that the known reading
-    // was not the worker's.
-    const bool is_correction =
-        source == reading_source::kAnswer &&
-        (is_first_answer || behind > kMaxReadingAge.count());
-    if (behind > 0 && !is_correction) return;
-  }
+  if (sent_at < now && !is_correction) return;
   monitor.clock_ms = clock_ms;
-  monitor.clock_read_at = clock.Now();
+  monitor.clock_read_at = now;
+}
+
+/// @return the time at which a reading of the worker's clock was sent, by the
+/// known clock; the present time if that is not known.
+core::time_point dispatcher::impl::SentAt(const worker_monitor& monitor,
+                                          std::int64_t clock_ms) const {
+  const core::time_point now = clock.Now();
+  if (!monitor.clock_ms) return now;
+  const std::int64_t behind = MinClockMs(monitor, now) - clock_ms;
+  return now - std::clamp(core::milliseconds(behind), core::milliseconds(0),
+                          kMaxDelay);
 }
 
 /// @return whether a report may come from the worker: its clock is not ahead of
