Test what heartbeats alone decide for a new leader

A new leader whose polls of a worker are not answered while its heartbeats go on: the worker gets no task and is named in no eligibility check, so that nothing is reserved for it, and a deregistration ends its runs.

--- a/src/dispatch/sign_of_life_test.cpp
+++ b/src/dispatch/sign_of_life_test.cpp
@@ -181,5 +181,55 @@
   EXPECT_EQ(CountStarts("next"), 0u);
 }
 
+// Guards against tasks that start on a worker of which a new leader knows only
+// heartbeats: it may have runs of an earlier leader, and has not refused its
+// orders.
+TEST_F(SignOfLifeTest, HeartbeatsAloneMakeNoWorkerUsable) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  workers_.silent.insert(w1.id);
+  BeginTerm();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(20));
+  EXPECT_EQ(CountStarts("j"), 0u);
+  workers_.silent.clear();
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(CountStarts("j"), 1u);
+}
+
+// Guards against a drained worker that stays registered, with its runs, since
+// it has answered no poll of this term: its deregistration arrives.
+TEST_F(SignOfLifeTest, ADeregisteredWorkerThatNeverAnsweredHoldsNoRun) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  AddWorker("w2");
+  Submit("j", {Step(1, 1'000)}, queue_);
+  event_log_.Apply(workflow::run_assigned{RunOf("j", 0, 1), w1});
+  workers_.silent.insert(w1.id);
+  BeginTerm();
+  RunWithHeartbeats(seconds(1));
+  ASSERT_EQ(CountStarts("j"), 0u);
+  event_log_.Apply(workflow::worker_removed{w1});
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(CountStarts("j"), 1u);
+  EXPECT_EQ(WorkerOf(RunOf("j", 0, 2)), core::worker_id{"w2"});
+}
+
+// Guards against tickets and reservations for a worker that answers no order
+// while its heartbeats go on: a check must not name it.
+TEST_F(SignOfLifeTest, AWorkerThatAnswersNoOrderIsNotChecked) {
+  AddWorker("w1");
+  AddWorker("w2");
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 1'500};
+  eligibility_.eligible = {{"w1"}, {"w2"}};
+  workers_.silent.insert({"w1"});
+  BeginTerm();
+  RunWithHeartbeats(seconds(2));
+  Submit("j", {Step(4, 1'000)}, queue_);
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(CountStarts("j"), 4u);
+  for (const auto& check : eligibility_.checks) {
+    EXPECT_EQ(check, (std::vector<core::worker_id>{{"w2"}}));
+  }
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
