Let polls wait less while answers are lost

Cause: a poll waits up to 2 s for an end, and the loss of its answer is noticed only after that.

Change: for 10 s after an order of which a try had no answer, the polls of that worker wait 300 ms. Polls of other workers wait 2 s as before, since each look at a worker has a price.

Test: OrderTriesTest.PollsWaitLessWhileAnswersAreLost. It was not run without the change.

--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -21,6 +21,9 @@
 /// Pause after an order without an answer.
 inline constexpr core::milliseconds kRetryPause{150};
 
+/// Earlier than any time that matters.
+inline constexpr core::time_point kNever{-std::chrono::hours(24)};
+
 /// How the leader learned that an incarnation of a worker is lost.
 enum class worker_loss : std::uint8_t {
   /// A later incarnation of the worker has reported.
@@ -63,6 +66,8 @@
   bool unanswered = false;
   /// Time of the first of the polls without an answer since the last one.
   core::time_point unanswered_since{};
+  /// Time of the last order of which a try had no answer.
+  core::time_point lost_answer_at = kNever;
   /// The worker's steady clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_read_at;
--- a/src/dispatch/order_tries_test.cpp
+++ b/src/dispatch/order_tries_test.cpp
@@ -136,5 +136,27 @@
   EXPECT_FALSE(event_log_.state.IsAssigned(RunOf("j", 0, 1)));
 }
 
+// Guards against ends that are hidden for the wait of a poll whose answer is
+// lost, again and again, and against a worker that is not usable meanwhile.
+TEST_F(OrderTriesTest, PollsWaitLessWhileAnswersAreLost) {
+  AddWorker("w1");
+  BeginTerm();
+  workers_.lost_polls = 1;
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(2'500));
+  ASSERT_EQ(workers_.lost_polls, 0);
+  const milliseconds short_wait = workers_.polls.back().wait;
+  EXPECT_LE(short_wait, milliseconds(500));
+  workers_.lost_polls = 1;
+  workers_.End({"w1"}, RunOf("j", 0, 1), run_end::kDone);
+  Submit("k", {Step(1, 1'000)}, queue_);
+  RunFor(2 * short_wait + milliseconds(300));
+  EXPECT_EQ(Phase("j"), workflow::job_phase::kSucceeded);
+  EXPECT_EQ(CountStarts("k"), 1u);
+  // Each look at a worker has a price: calm workers are polled less often.
+  RunFor(seconds(14));
+  EXPECT_EQ(workers_.polls.back().wait, milliseconds(2'000));
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -110,7 +110,9 @@
   const auto may_repeat = [this, &monitor, &run] {
     return MayRepeatStart(*monitor, run);
   };
-  co_return co_await tries->Run(send, may_repeat);
+  auto tried = co_await tries->Run(send, may_repeat);
+  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
+  co_return tried;
 }
 
 /// @return whether a start without an answer may be sent again: the capacity
@@ -165,6 +167,7 @@
     return !stopped && !monitor->removed && monitor->runs.Contains(run);
   };
   auto tried = co_await tries->Run(send, may_repeat);
+  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
   co_return std::move(tried.result);
 }
 
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -16,6 +16,11 @@
 
 /// Longest wait of a poll: short enough to renew the lease several times.
 constexpr core::milliseconds kPollWait{2'000};
+/// Wait of a poll while answers of the worker are lost: a lost answer to a poll
+/// hides the ends of runs for as long as the poll waits.
+constexpr core::milliseconds kShortPollWait{300};
+/// Time since the last order without an answer for which polls wait less.
+constexpr core::milliseconds kLossMemory{10'000};
 /// Delay before the ends of a worker without runs are acknowledged, unless
 /// another poll is due first.
 constexpr core::milliseconds kAckDelay{200};
@@ -118,8 +123,11 @@
     }
     const bool waits =
         monitor->synced && !monitor->unanswered && !monitor->runs.IsEmpty();
+    const bool loses_answers =
+        clock.Now() < monitor->lost_answer_at + kLossMemory;
+    const core::milliseconds wait = loses_answers ? kShortPollWait : kPollWait;
     const bool answered =
-        co_await Poll(monitor, waits ? kPollWait : core::milliseconds(0));
+        co_await Poll(monitor, waits ? wait : core::milliseconds(0));
     if (stopped || monitor->removed) co_return;
     if (answered) continue;
     const bool silent =
@@ -151,6 +159,7 @@
     return !stopped && !monitor->removed;
   };
   auto tried = co_await tries->Run(send, may_repeat);
+  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
   co_return std::move(tried.result);
 }
 
