Leave out workers for a time that grows with their failures

Cause: each unconfirmed or refused start left its worker out for 1.5 s. With a share of lost orders most workers of the cell were left out at each moment, while a worker that fails all the time drew a task every 1.5 s.

Change: order_backoff. The first failure costs 250 ms, further ones close to it twice as long each, up to 4 s; it is forgotten after 10 s without a failure. If less than half of the workers of a pool that answer polls would be left, only the 250 ms after the last failure count. NoteOrderFailure is the one place that notes a failure.

Tests: order_backoff_test.cpp. The tests were not run on the code without a back-off.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -356,7 +356,8 @@
     if (monitor->unanswered) {
       ++state.unanswering_workers;
       state.held_runs += monitor->runs.Size();
-    } else if (clock.Now() < monitor->avoid_until) {
+    } else if (clock.Now() < monitor->avoid_until ||
+               monitor->backoff.IsActive(clock.Now())) {
       ++state.avoided_workers;
     }
   }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -10,6 +10,7 @@
 
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/load_report.h"
+#include "dispatch/order_backoff.h"
 #include "dispatch/order_tries.h"
 #include "dispatch/planning_types.h"
 #include "mangoplank/dispatch/dispatcher.h"
@@ -76,6 +77,8 @@
   core::time_point last_heard;
   /// The worker gets no new tasks before this time.
   core::time_point avoid_until{};
+  /// The same after orders that failed, unless that leaves too few workers.
+  order_backoff backoff;
   /// Jobs whose runs have failed on the worker since a run last succeeded.
   std::set<std::string> failed_jobs;
   run_table runs;
@@ -157,6 +160,7 @@
 
   // run_orders.cpp: orders to start and stop the runs of one worker.
   core::awaitable<void> StartRun(planned_run planned);
+  void NoteOrderFailure(worker_monitor& monitor);
   core::awaitable<tried_order<order_result>> SendStart(
       std::shared_ptr<worker_monitor> monitor, start_order order);
   bool MayRepeatStart(const worker_monitor& monitor,
@@ -185,6 +189,8 @@
   core::awaitable<void> PlanLoop();
   void PlanRound();
   void BeginRound();
+  bool IsAnswering(const worker_monitor& monitor) const;
+  std::set<std::string> FindPoolsWithoutBackoff() const;
   void MarkWaiting(const std::string& job);
   void Refresh(const workflow::job& job, waiting_job& waiting);
   job_rank RankOf(const workflow::job& job) const;
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -28,6 +28,10 @@
 constexpr int kUnreachableFactor = 3;
 /// Number of workers per eligibility check that the objective assumes.
 constexpr int kTypicalWorkersPerCheck = 30;
+/// Share of the workers of a pool that must be left by the back-off of the
+/// others. If fewer are left, the fault is a general one, and leaving out most
+/// of the workers would stop the pool.
+constexpr double kMinShareWithBackoff = 0.5;
 /// Weight of each run in the mean run time of a queue.
 constexpr double kRunTimeWeight = 0.05;
 
@@ -168,6 +172,37 @@
   Spawn(CommitRuns(std::exchange(planned_runs, {})));
 }
 
+/// @return whether the worker answers polls and can accept tasks at all.
+bool dispatcher::impl::IsAnswering(const worker_monitor& monitor) const {
+  return monitor.synced && !monitor.unanswered && !monitor.removing &&
+         monitor.clock_ms && !monitor.worker.draining &&
+         clock.Now() < monitor.last_heard + settings.worker_silence;
+}
+
+/// @return the pools of which so many workers are in back-off that only its
+/// first part counts.
+std::set<std::string> dispatcher::impl::FindPoolsWithoutBackoff() const {
+  struct pool_count {
+    std::size_t answering = 0;
+    std::size_t in_backoff = 0;
+  };
+  std::map<std::string, pool_count> counts;
+  for (const auto& [id, monitor] : monitors) {
+    if (!IsAnswering(*monitor)) continue;
+    pool_count& count = counts[monitor->worker.pool];
+    ++count.answering;
+    if (monitor->backoff.IsActive(clock.Now())) ++count.in_backoff;
+  }
+  std::set<std::string> pools;
+  for (const auto& [name, count] : counts) {
+    const auto left = static_cast<double>(count.answering - count.in_backoff);
+    const bool has_too_few =
+        left < kMinShareWithBackoff * static_cast<double>(count.answering);
+    if (has_too_few) pools.insert(name);
+  }
+  return pools;
+}
+
 /// Collects the workers that can accept tasks, with their free capacity.
 void dispatcher::impl::BeginRound() {
   for (auto& [name, pool] : usable_pools) {
@@ -179,12 +214,13 @@
   usable_by_slot.assign(monitors.size() + free_slots.size(), nullptr);
   round_begin = clock.Now();
   const core::time_point now = round_begin;
+  const std::set<std::string> without_backoff = FindPoolsWithoutBackoff();
   for (const auto& [id, monitor] : monitors) {
-    const bool is_usable = monitor->synced && !monitor->unanswered &&
-                           !monitor->removing && monitor->clock_ms &&
-                           !monitor->worker.draining &&
-                           now >= monitor->avoid_until &&
-                           now < monitor->last_heard + settings.worker_silence;
+    const bool is_in_backoff = without_backoff.contains(monitor->worker.pool)
+                                   ? monitor->backoff.IsFirstPartActive(now)
+                                   : monitor->backoff.IsActive(now);
+    const bool is_usable =
+        IsAnswering(*monitor) && !is_in_backoff && now >= monitor->avoid_until;
     if (!is_usable || IsStartingSuspect(*monitor)) continue;
     const core::resources& capacity = monitor->worker.capacity;
     const core::resources free = capacity - monitor->runs.Used();
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -7,13 +7,6 @@
 
 using core::awaitable;
 
-namespace {
-
-/// Time without new tasks for a worker that refused or did not answer a start.
-constexpr core::milliseconds kAvoidanceTime{1'500};
-
-}  // namespace
-
 awaitable<void> dispatcher::impl::StartRun(planned_run planned) {
   const auto self = shared_from_this();
   const auto monitor = planned.monitor;
@@ -74,7 +67,7 @@
     }
     if (refused->reason == refusal::kUnhealthy ||
         refused->reason == refusal::kNoCapacity) {
-      monitor->avoid_until = clock.Now() + kAvoidanceTime;
+      NoteOrderFailure(*monitor);
     }
     // The worker may still carry out a try that it has not answered.
     if (!may_arrive) {
@@ -92,10 +85,16 @@
   ++load.starts_unconfirmed;
   spdlog::info("run_unconfirmed run={} worker={}", Name(planned.run),
                monitor->worker.key.id.v);
-  monitor->avoid_until = clock.Now() + kAvoidanceTime;
+  NoteOrderFailure(*monitor);
   co_await ResolveStart(monitor, planned.run);
 }
 
+/// Leaves out a worker for a while that has refused or not answered an order,
+/// or whose runs have ended with their lease.
+void dispatcher::impl::NoteOrderFailure(worker_monitor& monitor) {
+  monitor.backoff.NoteFailure(clock.Now());
+}
+
 /// Sends a start order, again under the same run number while it has no answer.
 awaitable<tried_order<order_result>> dispatcher::impl::SendStart(
     std::shared_ptr<worker_monitor> monitor, start_order order) {
