Share a start order between its tries

Cause: each try copied the order with the payload of its job twice. Change: the tries share one copy.

Tests: build/dispatch_test without LoadTest and LeaseTest: 122 passed. Conclusion: no change of behaviour; not measured.

--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -102,9 +102,11 @@
   const workflow::run_id run = order.run;
   const auto tries = std::make_shared<order_tries<order_result>>(
       executor, clock, core::milliseconds(0));
-  const auto send = [self, to = TargetOf(*monitor), order = std::move(order)](
+  // A payload may be large, and each try has a copy of `send`.
+  const auto shared = std::make_shared<const start_order>(std::move(order));
+  const auto send = [self, to = TargetOf(*monitor), shared](
                         core::milliseconds timeout, bool) {
-    return self->workers.Start(to, order, timeout);
+    return self->workers.Start(to, *shared, timeout);
   };
   const auto may_repeat = [this, &monitor, &run] {
     return MayRepeatStart(*monitor, run);
