--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -147,13 +147,13 @@
     const auto former = monitors.extract(id).mapped();
     const auto worker = known.find(id);
     if (worker == known.end()) continue;
-    AddWorker(worker->second, former->orders_settled_at);
+    AddWorker(worker->second, former->leased_at);
     for (const auto& [run, tracked] : former->runs.Runs()) {
       TransferRun(id, run, tracked);
     }
   }
   for (const auto& [id, worker] : known) {
-    if (!monitors.contains(id)) AddWorker(worker, {});
+    if (!monitors.contains(id)) AddWorker(worker, kNever);
   }
   RequestRound();
 }
@@ -186,11 +186,11 @@
   Spawn(StopRun(monitor, run));
 }
 
-/// @param orders_settled_at until then, orders to an earlier incarnation may
-/// reach this one. Their leases are times on the clock of the earlier one, so
-/// that this one may grant its longest lease when it carries them out.
+/// @param leased_at time of the last order with a lease to an earlier
+/// incarnation. It may still reach this one, which then grants its longest
+/// lease at that moment, as the order's lease is a time on the earlier clock.
 void dispatcher::impl::AddWorker(const workflow::worker& worker,
-                                 core::time_point orders_settled_at) {
+                                 core::time_point leased_at) {
   worker_slot slot = static_cast<worker_slot>(monitors.size());
   if (!free_slots.empty()) {
     slot = free_slots.back();
@@ -199,10 +199,11 @@
   const auto monitor =
       std::make_shared<worker_monitor>(worker, slot, executor, clock);
   // An earlier leader may have renewed the lease until this term began.
-  monitor->orders_settled_at = orders_settled_at;
-  monitor->lease_end = std::max({clock.Now(), term_start, orders_settled_at}) +
-                       std::chrono::duration_cast<core::duration>(
-                           settings.max_lease * (1 + settings.clock_drift));
+  monitor->leased_at = leased_at;
+  monitor->lease_end =
+      std::max({clock.Now(), term_start, leased_at + kMaxOrderDelay}) +
+      std::chrono::duration_cast<core::duration>(settings.max_lease *
+                                                 (1 + settings.clock_drift));
   monitor->last_heard = clock.Now();
   monitor->last_alive = clock.Now();
   monitor->last_reported = clock.Now();
@@ -374,7 +375,8 @@
     if (monitor->unanswered) {
       ++state.unanswering_workers;
       state.held_runs += monitor->runs.Size();
-    } else if (clock.Now() < monitor->avoid_until) {
+    } else if (clock.Now() < monitor->avoid_until ||
+               monitor->backoff.IsActive(clock.Now())) {
       ++state.avoided_workers;
     }
   }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -10,6 +10,7 @@
 
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/load_report.h"
+#include "dispatch/order_backoff.h"
 #include "dispatch/order_tries.h"
 #include "dispatch/planning_types.h"
 #include "mangoplank/dispatch/dispatcher.h"
@@ -23,6 +24,9 @@
 /// Pause after an order without an answer.
 inline constexpr core::milliseconds kRetryPause{150};
 
+/// Earlier than any time that matters.
+inline constexpr core::time_point kNever{-std::chrono::hours(24)};
+
 /// How the leader learned that an incarnation of a worker is lost.
 enum class worker_loss : std::uint8_t {
   /// A later incarnation of the worker has reported.
@@ -63,8 +67,12 @@
   std::uint64_t reports_received = 0;
   /// Whether the last poll had no answer.
   bool unanswered = false;
+  /// Its runs have ended with their lease since the last answered poll.
+  bool has_lapsed = false;
   /// Time of the first of the polls without an answer since the last one.
   core::time_point unanswered_since{};
+  /// Time of the last order of which a try had no answer.
+  core::time_point lost_answer_at = kNever;
   /// The worker's steady clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_read_at;
@@ -73,8 +81,9 @@
   core::time_point answered_at;
   /// A report does not agree with the known clock; an answer decides.
   bool clock_in_doubt = false;
-  /// Time by which no order without an answer can be carried out any more.
-  core::time_point orders_settled_at{};
+  /// Time of the last order that carried a lease, also to an earlier
+  /// incarnation.
+  core::time_point leased_at = kNever;
   /// Time by which the lease has provably ended.
   core::time_point lease_end;
   /// Time of the last heartbeat or answer.
@@ -87,6 +96,8 @@
   core::time_point last_reported;
   /// The worker gets no new tasks before this time.
   core::time_point avoid_until{};
+  /// The same after orders that failed, unless that leaves too few workers.
+  order_backoff backoff;
   /// Jobs whose runs have failed on the worker since a run last succeeded.
   std::set<std::string> failed_jobs;
   run_table runs;
@@ -119,8 +130,7 @@
   void AdoptRuns();
   void TransferRun(const core::worker_id& id, const workflow::run_id& run,
                    const tracked_run& previous);
-  void AddWorker(const workflow::worker& worker,
-                 core::time_point orders_settled_at);
+  void AddWorker(const workflow::worker& worker, core::time_point leased_at);
   void TrackJob(const workflow::job& job);
   void OnRunEnded(const workflow::run_ended& event);
   void UpdateStatistics(worker_monitor& monitor, const workflow::run_id& run,
@@ -175,6 +185,7 @@
 
   // run_orders.cpp: orders to start and stop the runs of one worker.
   core::awaitable<void> StartRun(planned_run planned);
+  void NoteOrderFailure(worker_monitor& monitor);
   core::awaitable<tried_order<order_result>> SendStart(
       std::shared_ptr<worker_monitor> monitor, start_order order);
   bool MayRepeatStart(const worker_monitor& monitor,
@@ -205,6 +216,8 @@
   core::awaitable<void> PlanLoop();
   void PlanRound();
   void BeginRound();
+  bool IsAnswering(const worker_monitor& monitor) const;
+  std::set<std::string> FindPoolsWithoutBackoff() const;
   void MarkWaiting(const std::string& job);
   void Refresh(const workflow::job& job, waiting_job& waiting);
   job_rank RankOf(const workflow::job& job) const;
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -7,13 +7,6 @@
 
 using core::awaitable;
 
-namespace {
-
-/// Time without new tasks for a worker that refused or did not answer a start.
-constexpr core::milliseconds kAvoidanceTime{1'500};
-
-}  // namespace
-
 awaitable<void> dispatcher::impl::StartRun(planned_run planned) {
   const auto self = shared_from_this();
   const auto monitor = planned.monitor;
@@ -75,7 +68,7 @@
     }
     if (refused->reason == refusal::kUnhealthy ||
         refused->reason == refusal::kNoCapacity) {
-      monitor->avoid_until = clock.Now() + kAvoidanceTime;
+      NoteOrderFailure(*monitor);
     }
     // The worker may still carry out a try that it has not answered.
     if (!may_arrive) {
@@ -93,10 +86,16 @@
   ++load.starts_unconfirmed;
   spdlog::info("run_unconfirmed run={} worker={}", Name(planned.run),
                monitor->worker.key.id.v);
-  monitor->avoid_until = clock.Now() + kAvoidanceTime;
+  NoteOrderFailure(*monitor);
   co_await ResolveStart(monitor, planned.run);
 }
 
+/// Leaves out a worker for a while that has refused or not answered an order,
+/// or whose runs have ended with their lease.
+void dispatcher::impl::NoteOrderFailure(worker_monitor& monitor) {
+  monitor.backoff.NoteFailure(clock.Now());
+}
+
 /// Sends a start order, again under the same run number while it has no answer.
 awaitable<tried_order<order_result>> dispatcher::impl::SendStart(
     std::shared_ptr<worker_monitor> monitor, start_order order) {
@@ -104,17 +103,17 @@
   const workflow::run_id run = order.run;
   const auto tries = std::make_shared<order_tries<order_result>>(
       executor, clock, core::milliseconds(0));
-  const auto send = [self, to = TargetOf(*monitor), order = std::move(order)](
+  // A payload may be large, and each try has a copy of `send`.
+  const auto shared = std::make_shared<const start_order>(std::move(order));
+  const auto send = [self, to = TargetOf(*monitor), shared](
                         core::milliseconds timeout, bool) {
-    return self->workers.Start(to, order, timeout);
+    return self->workers.Start(to, *shared, timeout);
   };
   const auto may_repeat = [this, &monitor, &run] {
     return MayRepeatStart(*monitor, run);
   };
   auto tried = co_await tries->Run(send, may_repeat);
-  if (tried.may_arrive) {
-    monitor->orders_settled_at = clock.Now() + kMaxOrderDelay;
-  }
+  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
   co_return tried;
 }
 
@@ -170,6 +169,7 @@
     return !stopped && !monitor->removed && monitor->runs.Contains(run);
   };
   auto tried = co_await tries->Run(send, may_repeat);
+  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
   co_return std::move(tried.result);
 }
 
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -120,6 +120,7 @@
     MarkWaiting(run.task.job);
   }
   if (events.empty()) co_return;
+  monitor->has_lapsed = true;
   stats.leases_ended.Add();
   spdlog::warn("worker_lease_ended worker={} born={} unanswered_ms={} runs={}",
                monitor->worker.key.id.v, monitor->worker.key.incarnation,
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -16,6 +16,11 @@
 
 /// Longest wait of a poll: short enough to renew the lease several times.
 constexpr core::milliseconds kPollWait{2'000};
+/// Wait of a poll while answers of the worker are lost: a lost answer to a poll
+/// hides the ends of runs for as long as the poll waits.
+constexpr core::milliseconds kShortPollWait{300};
+/// Time since the last order without an answer for which polls wait less.
+constexpr core::milliseconds kLossMemory{10'000};
 /// Delay before the ends of a worker without runs are acknowledged, unless
 /// another poll is due first.
 constexpr core::milliseconds kAckDelay{200};
@@ -147,6 +152,7 @@
   }
   const auto longest = std::chrono::duration_cast<core::duration>(
       settings.max_lease * (1 + settings.clock_drift));
+  monitor.leased_at = clock.Now();
   monitor.lease_end = std::max(monitor.lease_end, clock.Now() + longest);
   return MinClockMs(monitor, confirmed_at) + settings.lease.count();
 }
@@ -169,9 +175,12 @@
     }
     const bool waits =
         monitor->synced && !monitor->unanswered && !monitor->runs.IsEmpty();
+    const bool loses_answers =
+        clock.Now() < monitor->lost_answer_at + kLossMemory;
+    const core::milliseconds wait = loses_answers ? kShortPollWait : kPollWait;
     const bool had_lapsed = clock.Now() > monitor->lease_end;
     const bool answered =
-        co_await Poll(monitor, waits ? kPollWait : core::milliseconds(0));
+        co_await Poll(monitor, waits ? wait : core::milliseconds(0));
     if (stopped || monitor->removed) co_return;
     if (answered) continue;
     const bool silent =
@@ -211,9 +220,7 @@
     return !stopped && !monitor->removed;
   };
   auto tried = co_await tries->Run(send, may_repeat);
-  if (tried.may_arrive) {
-    monitor->orders_settled_at = clock.Now() + kMaxOrderDelay;
-  }
+  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
   co_return std::move(tried.result);
 }
 
@@ -249,6 +256,7 @@
     monitor->acknowledged_ends =
         std::max(monitor->acknowledged_ends, acknowledged);
     monitor->unanswered = false;
+    if (std::exchange(monitor->has_lapsed, false)) NoteOrderFailure(*monitor);
     const bool overtaken = monitor->reports_received != reports_before;
     ++monitor->reports_received;
     co_return co_await OnReport(monitor, poll_number, overtaken,
