--- a/src/dispatch/sign_of_life_test.cpp
+++ b/src/dispatch/sign_of_life_test.cpp
@@ -6,6 +6,8 @@
 constexpr milliseconds kHeartbeatInterval{500};
 /// Longer than the time after which a silent worker gets no new tasks.
 constexpr milliseconds kSilenceTime{4'500};
+/// Time by which the lease of a worker that does not answer has ended.
+constexpr milliseconds kLeaseTime{10'000};
 /// The longest lease that a worker grants.
 constexpr milliseconds kMaxLease{6'000};
 
@@ -231,5 +233,55 @@
   }
 }
 
+// Guards against a service that stays away for as long as its worker answers no
+// order while its heartbeats go on.
+TEST_F(SignOfLifeTest, ALongRunningTaskIsStartedElsewhere) {
+  AddWorker("w1");
+  AddWorker("w2");
+  BeginTerm();
+  workflow::step service = Step(1, 1'000);
+  service.long_running = true;
+  Submit("j", {service}, queue_);
+  RunWithHeartbeats(seconds(1));
+  const core::worker_id mute = WorkerOf(RunOf("j", 0, 1));
+  ASSERT_FALSE(mute.v.empty());
+  workers_.silent.insert(mute);
+  RunWithHeartbeats(kLeaseTime);
+  const core::worker_id next = WorkerOf(RunOf("j", 0, 2));
+  EXPECT_FALSE(next.v.empty());
+  EXPECT_NE(next, mute);
+  EXPECT_EQ(event_log_.state.FindJob("j")->tasks[0].losses, 0u);
+}
+
+// Guards against occurrences that wait for an earlier one, and against one that
+// is never started again, as its worker answers no order.
+TEST_F(SignOfLifeTest, OccurrencesGoOnBesideAWorkerThatAnswersNoOrder) {
+  AddWorker("w1");
+  AddWorker("w2");
+  BeginTerm();
+  workflow::job_spec spec;
+  spec.id = "j";
+  spec.steps = {Step(1, 1'000)};
+  spec.repeat_count = 3;
+  spec.first_at = clock_.WallNow();
+  spec.interval_ms = 2'000;
+  event_log_.Apply(workflow::job_accepted{spec, queue_, clock_.WallNow()});
+  RunWithHeartbeats(seconds(1));
+  const core::worker_id mute = WorkerOf(RunOf("j", 0, 1));
+  ASSERT_FALSE(mute.v.empty());
+  workers_.silent.insert(mute);
+  ++workers_.interruptions[mute];
+  RunWithHeartbeats(seconds(4));
+  for (std::uint32_t occurrence = 1; occurrence < 3; ++occurrence) {
+    const core::worker_id worker = WorkerOf({{"j", occurrence, 0, 0}, 1});
+    EXPECT_FALSE(worker.v.empty()) << "occurrence " << occurrence;
+    EXPECT_NE(worker, mute) << "occurrence " << occurrence;
+  }
+  RunWithHeartbeats(kLeaseTime);
+  const core::worker_id next = WorkerOf(RunOf("j", 0, 2));
+  EXPECT_FALSE(next.v.empty());
+  EXPECT_NE(next, mute);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
