Tell a lapse from a crash by when a heartbeat was sent

Cause: the last heartbeat of a worker that has crashed, delayed until after the end of its lease, made the crash look like the end of a lease (review, argued). Change: the time of sending by the worker's clock decides, which HasSurvivedStart uses as well. Conclusion: a task that crashes its workers is counted in that case too.

--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -194,7 +194,7 @@
     // with their lease. One that was sent after the lease shows that they were
     // not lost in a crash.
     if (had_lapsed && monitor->unanswered &&
-        monitor->last_heard > monitor->lease_end) {
+        monitor->last_alive > monitor->lease_end) {
       co_await EndLapsedRuns(monitor);
       if (stopped || monitor->removed) co_return;
     }
