--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -93,6 +93,11 @@
   std::optional<snapshot> sending_snapshot;
   std::uint64_t next_chunk_offset = 0;
   bool chunk_in_flight = false;
+
+  /// Last time at which the member took entries or a part of a snapshot, did
+  /// not answer, or lacked nothing that is committed.
+  core::time_point last_progress;
+  core::time_point last_stall_report;
 };
 
 /// State of a link that another member opened, used by its serving task.
@@ -119,6 +124,10 @@
   /// Snapshot being received.
   core::revision snapshot_revision = 0;
   std::string snapshot_data;
+  /// Reply to the last chunk, until it is sent.
+  std::optional<snapshot_reply> chunk_reply;
+  /// The reply waits until the log is durable up to this revision.
+  core::revision chunk_durable_at = 0;
 };
 
 /// A proposal that waits for its commit.
@@ -168,6 +177,8 @@
   core::awaitable<void> HeartbeatTask(core::term term);
   void BeginHeartbeatRound(leader_role& leader);
   void AdvanceQuorumRound();
+  /// Logs each member that answers and takes nothing of what it lacks.
+  void ReportStalledPeers();
   bool HoldsLease() const;
   core::time_point LeadershipConfirmedAt() const;
   void AdvanceCommit();
@@ -203,10 +214,11 @@
   core::awaitable<void> AckLoop(std::shared_ptr<inbound_link> inbound);
   core::awaitable<void> OnRequest(std::shared_ptr<inbound_link> inbound,
                                   message request);
-  core::awaitable<void> OnChunk(std::shared_ptr<inbound_link> inbound,
-                                snapshot_chunk chunk);
+  void OnChunk(inbound_link& inbound, snapshot_chunk chunk);
   append_reply NextReply(inbound_link& inbound);
   bool NeedsReply(const inbound_link& inbound) const;
+  bool IsChunkReplyDue(const inbound_link& inbound) const;
+  message NextOutgoing(inbound_link& inbound);
   void OnLeadershipTransfer(const leadership_transfer& request);
   void OnAppend(inbound_link& inbound, append_request& request);
   bool AcceptLeader(inbound_link& inbound, core::term term,
@@ -248,6 +260,10 @@
   membership MembershipAt(core::revision revision) const;
   const member* FindMember(const core::member_id& id) const;
   bool IsVoter() const;
+  /// @return false for a member that has joined with an empty disk and received
+  /// nothing yet. Its vote could stand for entries that a lost disk had, in a
+  /// cell that has not recorded its disk id yet.
+  bool KnowsMembers() const { return !CurrentMembership().members.empty(); }
   bool CanCampaign() const;
   bool IsMembershipChangeInProgress() const;
   bool HasOtherDiskId(const core::member_id& id, std::uint64_t disk_id) const;
@@ -301,7 +317,9 @@
   core::time_point last_leader_contact;
   core::time_point last_vote_time;
   std::uint64_t last_campaign_id = 0;
-  bool transfer_requested = false;
+  /// Term whose leader has requested a transfer to this member. The election
+  /// ignores leases, so it must not start in a later term.
+  std::optional<core::term> transfer_term;
   std::map<core::member_id, std::shared_ptr<peer>> peers;
   std::set<std::shared_ptr<inbound_link>> inbound_links;
   std::map<core::revision, std::shared_ptr<proposal>> proposals;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -147,39 +147,50 @@
     const auto former = monitors.extract(id).mapped();
     const auto worker = known.find(id);
     if (worker == known.end()) continue;
-    AddWorker(worker->second);
+    AddWorker(worker->second, former->leased_at);
     for (const auto& [run, tracked] : former->runs.Runs()) {
       TransferRun(id, run, tracked);
     }
   }
   for (const auto& [id, worker] : known) {
-    if (!monitors.contains(id)) AddWorker(worker);
+    if (!monitors.contains(id)) AddWorker(worker, kNever);
   }
   RequestRound();
 }
 
 /// Moves a run of an earlier incarnation of a worker to the current one, which
 /// the start may have reached. The first poll shows whether a confirmed start
-/// did, before the incarnation was announced. A start without an answer may
-/// still reach it, so that the run is stopped.
+/// did, before the incarnation was announced. A start order without an answer
+/// may still reach it, also if the run was found or another try was confirmed,
+/// so that the run is stopped.
 void dispatcher::impl::TransferRun(const core::worker_id& id,
                                    const workflow::run_id& run,
                                    const tracked_run& previous) {
   if (!event_log.State().IsAssigned(run)) return;
+  if (!previous.ordered) {
+    Spawn(RecordRunEnd(run, workflow::run_end::kNotStarted));
+    return;
+  }
   const auto& monitor = monitors[id];
   tracked_run transferred = previous;
   transferred.stopping = false;
   tracked_run& tracked = monitor->runs.Add(run, std::move(transferred));
   run_monitors[run] = monitor;
-  if (previous.resolved_after_poll && !previous.stopping) {
+  if (previous.resolved_after_poll && !previous.stopping &&
+      !previous.may_arrive) {
     tracked.resolved_after_poll = 0;
     return;
   }
   tracked.resolved_after_poll.reset();
+  tracked.start_expires = monitor->lease_end;
   Spawn(StopRun(monitor, run));
 }
 
-void dispatcher::impl::AddWorker(const workflow::worker& worker) {
+/// @param leased_at time of the last order with a lease to an earlier
+/// incarnation. It may still reach this one, which then grants its longest
+/// lease at that moment, as the order's lease is a time on the earlier clock.
+void dispatcher::impl::AddWorker(const workflow::worker& worker,
+                                 core::time_point leased_at) {
   worker_slot slot = static_cast<worker_slot>(monitors.size());
   if (!free_slots.empty()) {
     slot = free_slots.back();
@@ -188,10 +199,14 @@
   const auto monitor =
       std::make_shared<worker_monitor>(worker, slot, executor, clock);
   // An earlier leader may have renewed the lease until this term began.
-  monitor->lease_end = std::max(clock.Now(), term_start) +
-                       std::chrono::duration_cast<core::duration>(
-                           settings.max_lease * (1 + settings.clock_drift));
+  monitor->leased_at = leased_at;
+  monitor->lease_end =
+      std::max({clock.Now(), term_start, leased_at + kMaxOrderDelay}) +
+      std::chrono::duration_cast<core::duration>(settings.max_lease *
+                                                 (1 + settings.clock_drift));
   monitor->last_heard = clock.Now();
+  monitor->last_alive = clock.Now();
+  monitor->last_reported = clock.Now();
   monitors[worker.key.id] = monitor;
   Spawn(MonitorWorker(monitor));
 }
@@ -308,7 +323,13 @@
   const auto it = monitors.find(key.id);
   ++load.heartbeats;
   if (it == monitors.end() || it->second->worker.key != key) return;
-  UpdateClock(*it->second, clock_ms, reading_source::kReport);
+  CheckClock(*it->second, clock_ms);
+  // It may be another writer's.
+  if (!IsPossibleClock(*it->second, clock_ms)) return;
+  worker_monitor& monitor = *it->second;
+  monitor.last_reported =
+      std::max(monitor.last_reported, SentAt(monitor, clock_ms));
+  UpdateClock(monitor, clock_ms, reading_source::kReport);
 }
 
 /// Records events together with the jobs that have started since, and how long
@@ -354,7 +375,8 @@
     if (monitor->unanswered) {
       ++state.unanswering_workers;
       state.held_runs += monitor->runs.Size();
-    } else if (clock.Now() < monitor->avoid_until) {
+    } else if (clock.Now() < monitor->avoid_until ||
+               monitor->backoff.IsActive(clock.Now())) {
       ++state.avoided_workers;
     }
   }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -10,6 +10,8 @@
 
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/load_report.h"
+#include "dispatch/order_backoff.h"
+#include "dispatch/order_tries.h"
 #include "dispatch/planning_types.h"
 #include "mangoplank/dispatch/dispatcher.h"
 
@@ -17,11 +19,14 @@
 
 /// A worker that answers this long after the start of a run has survived it.
 inline constexpr core::milliseconds kStartTime{300};
-/// Time allowed for an answer beyond the wait of the order.
-inline constexpr core::milliseconds kOrderTimeout{800};
+/// Longest time after which an order without an answer may be carried out.
+inline constexpr core::milliseconds kMaxOrderDelay{12'000};
 /// Pause after an order without an answer.
 inline constexpr core::milliseconds kRetryPause{150};
 
+/// Earlier than any time that matters.
+inline constexpr core::time_point kNever{-std::chrono::hours(24)};
+
 /// How the leader learned that an incarnation of a worker is lost.
 enum class worker_loss : std::uint8_t {
   /// A later incarnation of the worker has reported.
@@ -62,16 +67,37 @@
   std::uint64_t reports_received = 0;
   /// Whether the last poll had no answer.
   bool unanswered = false;
+  /// Its runs have ended with their lease since the last answered poll.
+  bool has_lapsed = false;
   /// Time of the first of the polls without an answer since the last one.
   core::time_point unanswered_since{};
+  /// Time of the last order of which a try had no answer.
+  core::time_point lost_answer_at = kNever;
   /// The worker's steady clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_read_at;
+  /// The clock in the worker's last answer, and the time of the answer.
+  std::optional<std::int64_t> answered_clock_ms;
+  core::time_point answered_at;
+  /// A report does not agree with the known clock; an answer decides.
+  bool clock_in_doubt = false;
+  /// Time of the last order that carried a lease, also to an earlier
+  /// incarnation.
+  core::time_point leased_at = kNever;
   /// Time by which the lease has provably ended.
   core::time_point lease_end;
+  /// Time of the last heartbeat or answer.
   core::time_point last_heard;
+  /// Latest time at which the worker is known to have been alive: when the last
+  /// heartbeat or answer was sent.
+  core::time_point last_alive;
+  /// Time at which the last heartbeat was sent. Answers show neither the
+  /// capacity nor a drain, so that they don't renew it.
+  core::time_point last_reported;
   /// The worker gets no new tasks before this time.
   core::time_point avoid_until{};
+  /// The same after orders that failed, unless that leaves too few workers.
+  order_backoff backoff;
   /// Jobs whose runs have failed on the worker since a run last succeeded.
   std::set<std::string> failed_jobs;
   run_table runs;
@@ -104,7 +130,7 @@
   void AdoptRuns();
   void TransferRun(const core::worker_id& id, const workflow::run_id& run,
                    const tracked_run& previous);
-  void AddWorker(const workflow::worker& worker);
+  void AddWorker(const workflow::worker& worker, core::time_point leased_at);
   void TrackJob(const workflow::job& job);
   void OnRunEnded(const workflow::run_ended& event);
   void UpdateStatistics(worker_monitor& monitor, const workflow::run_id& run,
@@ -129,6 +155,9 @@
 
   // worker_monitor.cpp: polls of one worker, its lease and its reports.
   core::awaitable<void> MonitorWorker(std::shared_ptr<worker_monitor> monitor);
+  core::awaitable<poll_result> SendPoll(std::shared_ptr<worker_monitor> monitor,
+                                        poll_order order);
+  void ResolveExpiredStarts(worker_monitor& monitor) const;
   core::awaitable<bool> Poll(std::shared_ptr<worker_monitor> monitor,
                              core::milliseconds wait);
   core::awaitable<bool> OnReport(std::shared_ptr<worker_monitor> monitor,
@@ -146,33 +175,49 @@
                    reading_source source);
   std::int64_t MinClockMs(const worker_monitor& monitor,
                           core::time_point time) const;
+  core::time_point SentAt(const worker_monitor& monitor,
+                          std::int64_t clock_ms) const;
+  bool IsPossibleClock(const worker_monitor& monitor,
+                       std::int64_t clock_ms) const;
+  void CheckClock(worker_monitor& monitor, std::int64_t clock_ms);
   bool IsClockOfOtherIncarnation(const worker_monitor& monitor,
                                  std::int64_t clock_ms) const;
 
   // run_orders.cpp: orders to start and stop the runs of one worker.
   core::awaitable<void> StartRun(planned_run planned);
+  void NoteOrderFailure(worker_monitor& monitor);
+  core::awaitable<tried_order<order_result>> SendStart(
+      std::shared_ptr<worker_monitor> monitor, start_order order);
+  bool MayRepeatStart(const worker_monitor& monitor,
+                      const workflow::run_id& run);
   void RecordStart(const workflow::run_id& run, const worker_monitor& monitor);
   core::awaitable<void> ResolveStart(std::shared_ptr<worker_monitor> monitor,
                                      workflow::run_id run);
   core::awaitable<void> PollAfterStart(std::shared_ptr<worker_monitor> monitor);
+  core::awaitable<order_result> SendStop(
+      std::shared_ptr<worker_monitor> monitor, workflow::run_id run);
   core::awaitable<void> StopRun(std::shared_ptr<worker_monitor> monitor,
                                 workflow::run_id run);
   core::awaitable<void> RecordRunEnd(workflow::run_id run,
                                      workflow::run_end ending);
 
-  // worker_loss.cpp: ends of workers, and what they mean for their runs.
+  // worker_loss.cpp: ends of workers and leases, and what they mean for runs.
   bool HasSurvivedStart(const worker_monitor& monitor,
                         const tracked_run& tracked,
                         core::milliseconds time) const;
   void OnWorkerLost(worker_monitor& monitor, worker_loss loss);
   core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
                                      worker_loss loss, std::string reason);
+  workflow::run_end EndingAfterLease(const tracked_run& tracked) const;
+  core::awaitable<void> EndLapsedRuns(std::shared_ptr<worker_monitor> monitor);
   core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
 
   // planner.cpp: rounds, and the order of the waiting jobs.
   core::awaitable<void> PlanLoop();
   void PlanRound();
   void BeginRound();
+  bool IsAnswering(const worker_monitor& monitor) const;
+  std::set<std::string> FindPoolsWithoutBackoff() const;
   void MarkWaiting(const std::string& job);
   void Refresh(const workflow::job& job, waiting_job& waiting);
   job_rank RankOf(const workflow::job& job) const;
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -25,12 +25,17 @@
   core::time_point tracked_since;
   /// A start order was sent; always set for runs of an earlier leader.
   bool ordered = false;
+  /// A start order is on its way, or had no answer: it may still be carried
+  /// out, also by a later incarnation of the worker.
+  bool may_arrive = false;
   /// Time at which the worker confirmed the start or first listed the run.
   std::optional<core::time_point> started_at;
   /// Number of polls sent when the worker confirmed the start or a stop, or 0
   /// if an earlier leader recorded the run; unset until then. If a later poll
   /// does not list the run, the worker does not have it.
   std::optional<std::uint64_t> resolved_after_poll;
+  /// Time by which the worker refuses the start as late.
+  core::time_point start_expires{};
   /// How the run ends if it is not found on the worker's next incarnation.
   std::optional<workflow::run_end> loss;
   bool stopping = false;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -16,6 +16,11 @@
 
 /// Longest wait of a poll: short enough to renew the lease several times.
 constexpr core::milliseconds kPollWait{2'000};
+/// Wait of a poll while answers of the worker are lost: a lost answer to a poll
+/// hides the ends of runs for as long as the poll waits.
+constexpr core::milliseconds kShortPollWait{300};
+/// Time since the last order without an answer for which polls wait less.
+constexpr core::milliseconds kLossMemory{10'000};
 /// Delay before the ends of a worker without runs are acknowledged, unless
 /// another poll is due first.
 constexpr core::milliseconds kAckDelay{200};
@@ -27,6 +32,8 @@
 constexpr core::milliseconds kMaxReadingAge = kPollWait + kOrderTimeout;
 /// Allowed difference of two readings of one clock in addition to its drift.
 constexpr core::milliseconds kClockSlack{2'000};
+/// Longest delay of a reading that is told from a longer one.
+constexpr core::milliseconds kMaxDelay{60'000};
 /// Maximum number of ends in one report; a full list may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -58,18 +65,66 @@
 void dispatcher::impl::UpdateClock(worker_monitor& monitor,
                                    std::int64_t clock_ms,
                                    reading_source source) {
-  monitor.last_heard = clock.Now();
-  if (monitor.clock_ms) {
-    const std::int64_t behind = MinClockMs(monitor, clock.Now()) - clock_ms;
-    // A delayed report must not set the clock back. An answer is delayed by
-    // less than its time-out; one further behind shows that the known reading
-    // was not the worker's.
-    const bool is_correction =
-        source == reading_source::kAnswer && behind > kMaxReadingAge.count();
-    if (behind > 0 && !is_correction) return;
+  const core::time_point now = clock.Now();
+  const core::time_point sent_at = SentAt(monitor, clock_ms);
+  // A delayed report must not set the clock back. An answer is delayed by less
+  // than its time-out; one further behind shows that the known reading was not
+  // the worker's.
+  const bool is_correction =
+      source == reading_source::kAnswer &&
+      (!monitor.answered_clock_ms || sent_at < now - kMaxReadingAge);
+  monitor.last_heard = now;
+  monitor.last_alive =
+      std::max(monitor.last_alive, is_correction ? now : sent_at);
+  if (source == reading_source::kAnswer) {
+    monitor.answered_clock_ms = clock_ms;
+    monitor.answered_at = now;
+    monitor.clock_in_doubt = false;
   }
+  if (sent_at < now && !is_correction) return;
   monitor.clock_ms = clock_ms;
-  monitor.clock_read_at = clock.Now();
+  monitor.clock_read_at = now;
+}
+
+/// @return the time at which a reading of the worker's clock was sent, by the
+/// known clock; the present time if that is not known.
+core::time_point dispatcher::impl::SentAt(const worker_monitor& monitor,
+                                          std::int64_t clock_ms) const {
+  const core::time_point now = clock.Now();
+  if (!monitor.clock_ms) return now;
+  const std::int64_t behind = MinClockMs(monitor, now) - clock_ms;
+  return now - std::clamp(core::milliseconds(behind), core::milliseconds(0),
+                          kMaxDelay);
+}
+
+/// @return whether a report may come from the worker: its clock is not ahead of
+/// the latest one that is possible after the last answer. Leases are computed
+/// from it, and would end later than the leader expects.
+bool dispatcher::impl::IsPossibleClock(const worker_monitor& monitor,
+                                       std::int64_t clock_ms) const {
+  if (!monitor.answered_clock_ms) return true;
+  const auto elapsed = std::chrono::duration<double, std::milli>(
+      clock.Now() - monitor.answered_at + kMaxReadingAge);
+  const auto latest = static_cast<double>(*monitor.answered_clock_ms) +
+                      elapsed.count() * (1 + settings.clock_drift);
+  return static_cast<double>(clock_ms) <= latest;
+}
+
+/// Requests a poll if a report does not agree with the known clock: a clock
+/// that has jumped must not leave the worker without tasks for good.
+void dispatcher::impl::CheckClock(worker_monitor& monitor,
+                                  std::int64_t clock_ms) {
+  const bool is_behind =
+      monitor.clock_ms && clock_ms < MinClockMs(monitor, clock.Now()) -
+                                         settings.worker_silence.count();
+  if (!is_behind && IsPossibleClock(monitor, clock_ms)) return;
+  if (!monitor.clock_in_doubt) {
+    spdlog::info("clock_in_doubt worker={} reported_ms={} known_ms={}",
+                 monitor.worker.key.id.v, clock_ms,
+                 MinClockMs(monitor, clock.Now()));
+  }
+  monitor.clock_in_doubt = true;
+  monitor.wakeup.NotifyAll();
 }
 
 /// @return the earliest reading of the worker's known clock at a time.
@@ -83,19 +138,21 @@
          static_cast<std::int64_t>(std::floor(elapsed * rate));
 }
 
-/// @return the end of a lease on the worker's clock; no value if the clock is
-/// not known or leadership is not confirmed. The lease starts at the last
-/// confirmed time of leadership: the term of a later leader begins after that
-/// time, and the later leader waits for one lease.
+/// @return the end of a lease on the worker's clock; no value if the worker has
+/// not answered yet or leadership is not confirmed. The lease starts at the
+/// last confirmed time of leadership: the term of a later leader begins after
+/// that time, and the later leader waits for one lease.
 std::optional<std::int64_t> dispatcher::impl::NextLeaseEndMs(
     worker_monitor& monitor) {
   const core::time_point confirmed_at =
       std::min(event_log.LeadershipConfirmedAt(), clock.Now());
-  if (!monitor.clock_ms || confirmed_at + settings.lease < clock.Now()) {
+  if (!monitor.answered_clock_ms ||
+      confirmed_at + settings.lease < clock.Now()) {
     return std::nullopt;
   }
   const auto longest = std::chrono::duration_cast<core::duration>(
       settings.max_lease * (1 + settings.clock_drift));
+  monitor.leased_at = clock.Now();
   monitor.lease_end = std::max(monitor.lease_end, clock.Now() + longest);
   return MinClockMs(monitor, confirmed_at) + settings.lease.count();
 }
@@ -106,7 +163,7 @@
   const auto self = shared_from_this();
   while (!stopped && !monitor->removed) {
     const bool idle = monitor->synced && !monitor->unanswered &&
-                      monitor->runs.IsEmpty() &&
+                      !monitor->clock_in_doubt && monitor->runs.IsEmpty() &&
                       monitor->acknowledged_ends == monitor->recorded_ends;
     if (idle) {
       co_await monitor->wakeup.Wait();
@@ -118,8 +175,12 @@
     }
     const bool waits =
         monitor->synced && !monitor->unanswered && !monitor->runs.IsEmpty();
+    const bool loses_answers =
+        clock.Now() < monitor->lost_answer_at + kLossMemory;
+    const core::milliseconds wait = loses_answers ? kShortPollWait : kPollWait;
+    const bool had_lapsed = clock.Now() > monitor->lease_end;
     const bool answered =
-        co_await Poll(monitor, waits ? kPollWait : core::milliseconds(0));
+        co_await Poll(monitor, waits ? wait : core::milliseconds(0));
     if (stopped || monitor->removed) co_return;
     if (answered) continue;
     const bool silent =
@@ -129,10 +190,53 @@
       co_await RemoveWorker(monitor, worker_loss::kSilent, std::move(reason));
       co_return;
     }
+    // A heartbeat decides only whether the worker is still there; its runs end
+    // with their lease. One that was sent after the lease shows that they were
+    // not lost in a crash.
+    if (had_lapsed && monitor->unanswered &&
+        monitor->last_alive > monitor->lease_end) {
+      co_await EndLapsedRuns(monitor);
+      if (stopped || monitor->removed) co_return;
+    }
     co_await core::SleepFor(clock, kRetryPause);
   }
 }
 
+/// Sends a poll, again and without a wait while it has no answer: a lost answer
+/// hides ends. The lease is the same in all tries.
+awaitable<poll_result> dispatcher::impl::SendPoll(
+    std::shared_ptr<worker_monitor> monitor, poll_order order) {
+  const auto self = shared_from_this();
+  const auto tries =
+      std::make_shared<order_tries<poll_result>>(executor, clock, order.wait);
+  const auto send = [self, to = TargetOf(*monitor), order](
+                        core::milliseconds timeout, bool is_repeated) {
+    poll_order next = order;
+    if (is_repeated) next.wait = core::milliseconds(0);
+    ++self->load.polls;
+    return self->workers.Poll(to, next, timeout);
+  };
+  const auto may_repeat = [this, &monitor] {
+    return !stopped && !monitor->removed;
+  };
+  auto tried = co_await tries->Run(send, may_repeat);
+  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
+  co_return std::move(tried.result);
+}
+
+/// A worker may answer polls and no other order. A start whose lease has ended
+/// is refused as late, so that a poll sent from now on shows whether the worker
+/// has the run.
+void dispatcher::impl::ResolveExpiredStarts(worker_monitor& monitor) const {
+  for (const auto& [run, tracked] : monitor.runs.Runs()) {
+    if (!tracked.ordered || tracked.resolved_after_poll ||
+        clock.Now() <= tracked.start_expires) {
+      continue;
+    }
+    monitor.runs.Find(run)->resolved_after_poll = monitor.polls_sent;
+  }
+}
+
 /// @return whether the worker answered.
 awaitable<bool> dispatcher::impl::Poll(std::shared_ptr<worker_monitor> monitor,
                                        core::milliseconds wait) {
@@ -142,17 +246,17 @@
   if (!monitor->runs.IsEmpty() && !monitor->unanswered) {
     order.lease_until_ms = NextLeaseEndMs(*monitor);
   }
+  ResolveExpiredStarts(*monitor);
   const std::uint64_t poll_number = ++monitor->polls_sent;
-  ++load.polls;
   const std::uint64_t acknowledged = order.recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
-  const worker_target to = TargetOf(*monitor);
-  auto result = co_await workers.Poll(to, order, wait + kOrderTimeout);
+  auto result = co_await SendPoll(monitor, order);
   if (stopped || monitor->removed) co_return false;
   if (auto* const report = std::get_if<worker_report>(&result)) {
     monitor->acknowledged_ends =
         std::max(monitor->acknowledged_ends, acknowledged);
     monitor->unanswered = false;
+    if (std::exchange(monitor->has_lapsed, false)) NoteOrderFailure(*monitor);
     const bool overtaken = monitor->reports_received != reports_before;
     ++monitor->reports_received;
     co_return co_await OnReport(monitor, poll_number, overtaken,
