--- a/src/dispatch/lapsed_run_test.cpp
+++ b/src/dispatch/lapsed_run_test.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include "dispatch/dispatcher_fixture.h"
 
 namespace mangoplank::dispatch {
