--- a/src/dispatch/dispatcher_fixture.h
+++ b/src/dispatch/dispatcher_fixture.h
@@ -19,6 +19,7 @@
 using workflow::run_end;
 
 inline constexpr core::term kTerm = 4;
+inline constexpr milliseconds kHeartbeatInterval{500};
 
 /// Workers that refuse a number of stop orders as unhealthy, and to which a
 /// number of orders is lost.
@@ -150,6 +151,31 @@
     }
   }
 
+  /// The same with heartbeats of all workers but `unreported_`.
+  void RunWithHeartbeats(core::duration duration) {
+    const core::time_point end = clock_.Now() + duration;
+    while (clock_.Now() < end) {
+      const auto workers = event_log_.state.Workers();
+      for (const auto& [id, worker] : workers) {
+        if (unreported_.contains(id)) continue;
+        dispatcher_->OnHeartbeat(worker.key, workers_.ClockMs());
+      }
+      RunFor(std::min<core::duration>(kHeartbeatInterval, end - clock_.Now()));
+    }
+  }
+  /// From now on the worker answers no order, also none that it has received.
+  void Mute(const core::worker_id& worker) {
+    workers_.silent.insert(worker);
+    ++workers_.interruptions[worker];
+  }
+
+  /// @return the worker to which the run is assigned; an empty id if there is
+  /// none.
+  core::worker_id WorkerOf(const workflow::run_id& run) const {
+    const workflow::worker_key* const worker =
+        event_log_.state.FindAssignedWorker(run);
+    return worker == nullptr ? core::worker_id{} : worker->id;
+  }
   /// @return the number of a job's runs that were ordered, each of them perhaps
   /// several times.
   std::size_t CountStarts(const std::string& job) const {
@@ -172,6 +198,8 @@
   workflow::queue queue_;
   workflow::queue urgent_;
   std::unique_ptr<dispatcher> dispatcher_;
+  /// Workers whose heartbeats don't arrive.
+  std::set<core::worker_id> unreported_;
 };
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -69,7 +69,7 @@
   bool unanswered = false;
   /// Its runs have ended with their lease since the last answered poll.
   bool has_lapsed = false;
-  /// Time of the first of the polls without an answer since the last one.
+  /// Time of the first poll without an answer since the last answered one.
   core::time_point unanswered_since{};
   /// Time of the last order of which a try had no answer.
   core::time_point lost_answer_at = kNever;
--- a/src/dispatch/lapsed_run_test.cpp
+++ b/src/dispatch/lapsed_run_test.cpp
@@ -5,36 +5,11 @@
 namespace mangoplank::dispatch {
 namespace {
 
-constexpr milliseconds kHeartbeatInterval{500};
 /// Longest delay with which a worker carries out an order.
 constexpr milliseconds kMaxOrderDelay{12'000};
 
 /// Workers whose heartbeats go on, whatever orders they answer.
-class LapsedRunTest : public DispatcherTest {
- protected:
-  void RunWithHeartbeats(core::duration duration) {
-    const core::time_point end = clock_.Now() + duration;
-    while (clock_.Now() < end) {
-      const auto workers = event_log_.state.Workers();
-      for (const auto& [id, worker] : workers) {
-        if (without_heartbeats_.contains(id)) continue;
-        dispatcher_->OnHeartbeat(worker.key, workers_.ClockMs());
-      }
-      RunFor(std::min<core::duration>(kHeartbeatInterval, end - clock_.Now()));
-    }
-  }
-  void Mute(const core::worker_id& worker) {
-    workers_.silent.insert(worker);
-    ++workers_.interruptions[worker];
-  }
-  core::worker_id WorkerOf(const workflow::run_id& run) const {
-    const workflow::worker_key* const worker =
-        event_log_.state.FindAssignedWorker(run);
-    return worker == nullptr ? core::worker_id{} : worker->id;
-  }
-
-  std::set<core::worker_id> without_heartbeats_;
-};
+class LapsedRunTest : public DispatcherTest {};
 
 // Guards against a second run beside a late one (TWICE): a start that had no
 // answer is carried out 12 s later by the worker's next incarnation. Its lease
@@ -200,7 +175,7 @@
   const core::worker_id lost = WorkerOf(RunOf("j", 0, 1));
   Mute(lost);
   RunWithHeartbeats(milliseconds(4'500));
-  without_heartbeats_.insert(lost);
+  unreported_.insert(lost);
   RunWithHeartbeats(seconds(10));
   EXPECT_FALSE(event_log_.state.Workers().contains(lost));
   EXPECT_EQ(event_log_.state.FindJob("j")->tasks[0].losses, 1u);
--- a/src/dispatch/lease_test.cpp
+++ b/src/dispatch/lease_test.cpp
@@ -6,31 +6,10 @@
 /// Time by which the lease of a worker that does not answer has ended, with
 /// heartbeats and a poll after that.
 constexpr milliseconds kLeaseTime{10'000};
-constexpr milliseconds kHeartbeatInterval{500};
 
 /// Workers whose heartbeats go on while they answer no order.
 class LeaseTest : public DispatcherTest {
  protected:
-  void RunWithHeartbeats(core::duration duration) {
-    const core::time_point end = clock_.Now() + duration;
-    while (clock_.Now() < end) {
-      const auto workers = event_log_.state.Workers();
-      for (const auto& [id, worker] : workers) {
-        dispatcher_->OnHeartbeat(worker.key, workers_.ClockMs());
-      }
-      RunFor(kHeartbeatInterval);
-    }
-  }
-  /// From now on the worker answers no order, also none that it has received.
-  void Mute(const core::worker_id& worker) {
-    workers_.silent.insert(worker);
-    ++workers_.interruptions[worker];
-  }
-  core::worker_id WorkerOf(const workflow::run_id& run) const {
-    const workflow::worker_key* const worker =
-        event_log_.state.FindAssignedWorker(run);
-    return worker == nullptr ? core::worker_id{} : worker->id;
-  }
   /// @return the end of the last lease that an order to the worker carried, on
   /// the worker's clock; all starts so far must have gone to the worker.
   std::int64_t LastLeaseEndMs(const core::worker_id& worker) {
--- a/src/dispatch/sign_of_life_test.cpp
+++ b/src/dispatch/sign_of_life_test.cpp
@@ -3,7 +3,6 @@
 namespace mangoplank::dispatch {
 namespace {
 
-constexpr milliseconds kHeartbeatInterval{500};
 /// Longer than the time after which a silent worker gets no new tasks.
 constexpr milliseconds kSilenceTime{4'500};
 /// Time by which the lease of a worker that does not answer has ended.
@@ -12,28 +11,7 @@
 constexpr milliseconds kMaxLease{6'000};
 
 /// Workers of which one channel works and another does not.
-class SignOfLifeTest : public DispatcherTest {
- protected:
-  void RunWithHeartbeats(core::duration duration) {
-    const core::time_point end = clock_.Now() + duration;
-    while (clock_.Now() < end) {
-      const auto workers = event_log_.state.Workers();
-      for (const auto& [id, worker] : workers) {
-        if (unreported_.contains(id)) continue;
-        dispatcher_->OnHeartbeat(worker.key, workers_.ClockMs());
-      }
-      RunFor(kHeartbeatInterval);
-    }
-  }
-  core::worker_id WorkerOf(const workflow::run_id& run) const {
-    const workflow::worker_key* const worker =
-        event_log_.state.FindAssignedWorker(run);
-    return worker == nullptr ? core::worker_id{} : worker->id;
-  }
-
-  /// Workers whose heartbeats don't arrive.
-  std::set<core::worker_id> unreported_;
-};
+class SignOfLifeTest : public DispatcherTest {};
 
 // Guards against tasks that start by a capacity and a drain state that are no
 // longer known: the worker's heartbeats fail while its polls are answered.
