Use the fixture's function for mute workers in SignOfLifeTest

Cause: three tests wrote out what DispatcherTest::Mute does. Change: they call it; the statements are the same. Conclusion: no check changed.

--- a/src/dispatch/sign_of_life_test.cpp
+++ b/src/dispatch/sign_of_life_test.cpp
@@ -114,8 +114,7 @@
   Submit("j", {Step(1, 1'000)}, queue_);
   RunFor(milliseconds(100));
   ASSERT_EQ(CountStarts("j"), 1u);
-  workers_.silent.insert(w1.id);
-  ++workers_.interruptions[w1.id];
+  Mute(w1.id);
   RunFor(milliseconds(400));
   dispatcher_->OnHeartbeat(w1, sent_before_start);
   workers_.states[w1.id] = {};
@@ -133,8 +132,7 @@
   Submit("j", {Step(1, 1'000)}, queue_);
   RunFor(milliseconds(100));
   ASSERT_EQ(CountStarts("j"), 1u);
-  workers_.silent.insert(w1.id);
-  ++workers_.interruptions[w1.id];
+  Mute(w1.id);
   RunFor(milliseconds(400));
   dispatcher_->OnHeartbeat(w1, workers_.ClockMs());
   workers_.states[w1.id] = {};
@@ -247,8 +245,7 @@
   RunWithHeartbeats(seconds(1));
   const core::worker_id mute = WorkerOf(RunOf("j", 0, 1));
   ASSERT_FALSE(mute.v.empty());
-  workers_.silent.insert(mute);
-  ++workers_.interruptions[mute];
+  Mute(mute);
   RunWithHeartbeats(seconds(4));
   for (std::uint32_t occurrence = 1; occurrence < 3; ++occurrence) {
     const core::worker_id worker = WorkerOf({{"j", occurrence, 0, 0}, 1});
