--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -73,10 +73,11 @@
 class Worker:
     """One life of a worker."""
 
-    def __init__(self, pool, name, cpu=32000, port=0, host=None):
+    def __init__(self, pool, name, cpu=32000, port=0, host=None, labels=("a", "r1")):
         self.pool, self.record, self.id, self.cpu = pool, pool.record, name, cpu
         self.host = host or f"127.{pool.cell.block}.40.1"
         self.port = port
+        self.labels = list(labels)
         self.begin = time.monotonic()
         self.born = int(time.time() * 1000)
         self.up = True
@@ -254,7 +255,7 @@
         self.sequence += 1
         report = {"backend": "pool", "address": f"{self.host}:{self.port}", "zone": "z1",
                   "version": "v1", "slots": 8, "state": self.state, "cold-remaining-ms": 0,
-                  "capacity": {"cpu": self.cpu, "mem-mb": 65536, "gpus": 0}, "labels": ["a", "r1"],
+                  "capacity": {"cpu": self.cpu, "mem-mb": 65536, "gpus": 0}, "labels": self.labels,
                   "clock-ms": self.clock_ms(), "sequence": self.sequence, "born": self.born}
         if self.state == "draining":
             report["remaining-ms"] = 2000
