--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -13,6 +13,9 @@
 HEARTBEAT_S = 1.5
 ANSWER_S = 1.0
 TICK_S = 0.02
+# All stand-ins share one event loop, so that a start may be read before an answer that arrived
+# earlier at another worker. Two runs count as at the same time if both go on for longer than this.
+OVERLAP_S = 0.25
 
 
 class Run:
@@ -56,13 +59,20 @@
     def note_start(self, worker, run):
         for (task, number), other in self.active.items():
             if task == run.task:
-                self.record.add_broken(
-                    "TWICE", f"{task} run {run.number} starts on {worker.id} while run {number} "
-                             f"is at work on {other.id}, which is up")
+                self.record.add(f"{task} run {run.number} starts on {worker.id} while run {number} "
+                                f"is at work on {other.id}, which is up")
+                asyncio.get_running_loop().call_later(OVERLAP_S, self._check_overlap, task,
+                                                      number, run.number)
         self.active[run.task, run.number] = worker
         self.record.add(f"{worker.id} starts {run.task} run {run.number}")
         self.on_start(worker, run)
 
+    def _check_overlap(self, task, first, second):
+        if (task, first) in self.active and (task, second) in self.active:
+            self.record.add_broken("TWICE", f"{task} has been at work as run {first} on "
+                                            f"{self.active[task, first].id} and as run {second} on "
+                                            f"{self.active[task, second].id} for {OVERLAP_S} s")
+
     def gang(self, run):
         """The runs of the same gang and run number that are at work, by worker."""
         prefix = run.task.rsplit(".", 1)[0] + "."
