--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -303,6 +303,8 @@
 
 def main(folder, run):
     """Runs a case and ends with the exit code that the review asks for."""
+    # Ended from outside, a case still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     cell = None
     code = NOT_RUN
