Report changed members to connected clients, and read the seeds again

Cause: a gateway learned the members only when it opened a connection. It opens none while its leader stays, and the leader went last. Seeds were read once. Change: the leader reports each change of the members on every open connection; lists carry their revision; seeds are read from the settings file while no leader is found. Why it works: a connected client holds the present members at all times, and one that was cut off has the file, which the platform renews.

--- a/include/mangoplank/consensus/node.h
+++ b/include/mangoplank/consensus/node.h
@@ -86,6 +86,8 @@
   /// the epoch of the clock if this process is not leader.
   core::time_point LeadershipConfirmedAt() const;
   node_status Status() const;
+  /// Notified when the members in the status may have changed.
+  core::event& MembersChanged();
 
   /// Adds a member, changes its address, promotes or demotes it, or removes it,
   /// one step at a time. A new voter is a learner until it has caught up.
--- a/include/mangoplank/settings/settings.h
+++ b/include/mangoplank/settings/settings.h
@@ -67,6 +67,8 @@
                                   std::string_view key) const;
   const std::map<std::string, core::endpoint>& Table(
       std::string_view section) const;
+  /// @return the name of the file that they were read from.
+  const std::string& File() const { return file_; }
 
   friend bool operator==(const values&, const values&) = default;
 
@@ -77,6 +79,7 @@
   const value& At(std::string_view section, std::string_view key) const;
 
   std::map<std::pair<std::string, std::string>, value, std::less<>> values_;
+  std::string file_;
 };
 
 /// Parses INI text and checks it against the declared options.
--- a/include/mangoplank/workflow/client.h
+++ b/include/mangoplank/workflow/client.h
@@ -16,14 +16,16 @@
 struct client_settings {
   /// Sent to the leader, for its logs.
   std::string name;
-  /// Addresses of control processes that are tried in addition to the members.
-  std::vector<core::endpoint> seeds;
   /// Port on which members accept connections; a member's id is its IP address.
   std::uint16_t port = 0;
   /// Id of this process if it is a member itself; empty otherwise.
   core::member_id self;
 };
 
+/// Returns the addresses of control processes that are tried in addition to the
+/// members. They may change while the process runs.
+using seed_source = std::function<std::vector<core::endpoint>()>;
+
 /// Checks with the eligibility service which of the workers may run a step.
 using eligibility_checker =
     std::function<core::awaitable<std::optional<std::vector<eligible_worker>>>(
@@ -34,9 +36,10 @@
 /// the next leader.
 class client {
  public:
+  /// @param seeds called again while no leader is found; may be empty.
   /// @param check_eligibility may be empty.
   client(client_settings settings, const wire::connection_context& context,
-         eligibility_checker check_eligibility);
+         seed_source seeds, eligibility_checker check_eligibility);
   ~client();
 
   void Start();
@@ -50,6 +53,8 @@
   bool HasLeader() const;
   /// @return the leader's id, or empty.
   core::member_id Leader() const;
+  /// @return the newest members that a control process has reported.
+  const member_list& Members() const;
 
  private:
   struct impl;
--- a/include/mangoplank/workflow/messages.h
+++ b/include/mangoplank/workflow/messages.h
@@ -103,15 +103,28 @@
   bool can_check_eligibility = false;
   friend bool operator==(const hello&, const hello&) = default;
 };
+/// The members of the replicated log, as one process knows them.
+struct member_list {
+  /// Revision of the log at which these became the members.
+  core::revision revision = 0;
+  std::vector<core::member_id> ids;
+  friend bool operator==(const member_list&, const member_list&) = default;
+};
 /// First message of the accepting side, which closes the connection when it
 /// loses leadership.
 struct hello_reply {
   core::member_id self;
   /// Empty if none is known.
   core::member_id leader;
-  std::vector<core::member_id> members;
+  member_list members;
   friend bool operator==(const hello_reply&, const hello_reply&) = default;
 };
+/// The leader reports new members to the clients that are connected.
+struct members_changed {
+  member_list members;
+  friend bool operator==(const members_changed&,
+                         const members_changed&) = default;
+};
 struct request {
   std::uint64_t id = 0;
   request_body body;
@@ -148,8 +161,8 @@
                          const eligibility_reply&) = default;
 };
 
-using message = std::variant<hello, hello_reply, request, answer,
-                             eligibility_request, eligibility_reply>;
+using message = std::variant<hello, hello_reply, members_changed, request,
+                             answer, eligibility_request, eligibility_reply>;
 
 }  // namespace mangoplank::workflow
 
--- a/src/consensus/members.cpp
+++ b/src/consensus/members.cpp
@@ -139,6 +139,7 @@
     return true;
   });
   election_changed.NotifyAll();
+  members_changed.NotifyAll();
 }
 
 void node::impl::AppendMembership(const std::vector<member>& members) {
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -56,6 +56,8 @@
 
 node_status node::Status() const { return impl_->Status(); }
 
+core::event& node::MembersChanged() { return impl_->members_changed; }
+
 core::awaitable<core::outcome<core::revision>> node::ChangeMember(member target,
                                                                   bool remove) {
   const auto self = impl_;
@@ -99,6 +101,7 @@
       durable_changed(executor, init_clock),
       election_changed(executor, init_clock),
       progress_changed(executor, init_clock),
+      members_changed(executor, init_clock),
       task_ended(executor, init_clock) {}
 
 void node::impl::Spawn(core::awaitable<void> task) {
--- a/src/consensus/node_impl.h
+++ b/src/consensus/node_impl.h
@@ -336,6 +336,7 @@
   core::event election_changed;
   /// Notified on an acknowledged round, replication progress or a commit.
   core::event progress_changed;
+  core::event members_changed;
   core::event task_ended;
 };
 
--- a/src/dispatch/connection_server.cpp
+++ b/src/dispatch/connection_server.cpp
@@ -48,9 +48,11 @@
   awaitable<void> Serve(std::shared_ptr<wire::connection> connection);
   awaitable<void> ReadLoop(std::shared_ptr<wire::connection> connection);
   awaitable<void> CloseOnLeadershipLoss();
+  awaitable<void> ShareMembers();
   awaitable<void> Answer(std::shared_ptr<wire::connection> connection,
                          workflow::request request);
   message MakeHelloReply() const;
+  workflow::member_list MakeMemberList() const;
 
   wire::connection_context context;
   consensus::node& node;
@@ -73,12 +75,17 @@
   } else if (status.leader && *status.leader != self) {
     reply.leader = *status.leader;
   }
-  for (const auto& member : status.members.members) {
-    reply.members.push_back(member.id);
-  }
+  reply.members = MakeMemberList();
   return reply;
 }
 
+workflow::member_list connection_server::impl::MakeMemberList() const {
+  const consensus::membership known = node.Status().members;
+  workflow::member_list list{known.revision, {}};
+  for (const auto& member : known.members) list.ids.push_back(member.id);
+  return list;
+}
+
 awaitable<void> connection_server::impl::Serve(
     std::shared_ptr<wire::connection> connection) {
   const auto keep_alive = shared_from_this();
@@ -132,6 +139,19 @@
   }
 }
 
+/// Reports each change of the members to the clients: a client stays connected
+/// while one process leads, in which all other members may be replaced.
+awaitable<void> connection_server::impl::ShareMembers() {
+  const auto keep_alive = shared_from_this();
+  while (true) {
+    co_await node.MembersChanged().Wait();
+    if (!handler->IsLeader()) continue;
+    const std::string frame =
+        wire::Encode(message(workflow::members_changed{MakeMemberList()}));
+    for (const auto& connection : connections) connection->Send(frame);
+  }
+}
+
 awaitable<void> connection_server::impl::ReadLoop(
     std::shared_ptr<wire::connection> connection) {
   while (connection->IsOpen()) {
@@ -185,6 +205,8 @@
       kMaxConnections);
   asio::co_spawn(impl_->context.executor, impl_->CloseOnLeadershipLoss(),
                  asio::detached);
+  asio::co_spawn(impl_->context.executor, impl_->ShareMembers(),
+                 asio::detached);
   return impl_->listener->Start(address);
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -136,6 +136,7 @@
 
   result<values> Run(std::string_view text) {
     BOOST_LEAF_AUTO(found, ReadAssignments(text, file_));
+    values_.file_ = file_;
     SetDefaults();
     for (const assignment& entry : found) BOOST_LEAF_CHECK(Set(entry));
     BOOST_LEAF_CHECK(CheckRequired(found));
--- a/src/wire/convert_workflow_messages.cpp
+++ b/src/wire/convert_workflow_messages.cpp
@@ -159,6 +159,14 @@
   KJ_FAIL_REQUIRE("unknown alternative of workflow answer");
 }
 
+template <class Id>
+static void WriteIds(const std::vector<Id>& ids,
+                     capnp::List<capnp::Text>::Builder builder) {
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    builder.set(static_cast<unsigned>(i), Text(ids[i].v));
+  }
+}
+
 static void WriteMessage(const workflow::hello& value,
                          schema::WorkflowMessage::Builder builder) {
   auto g = builder.initHello();
@@ -170,10 +178,14 @@
   auto g = builder.initGreeting();
   g.setSelf(Text(value.self.v));
   g.setLeader(Text(value.leader.v));
-  auto members = g.initMembers(value.members.size());
-  for (std::size_t i = 0; i < value.members.size(); ++i) {
-    members.set(static_cast<unsigned>(i), Text(value.members[i].v));
-  }
+  g.setMembersRevision(value.members.revision);
+  WriteIds(value.members.ids, g.initMembers(value.members.ids.size()));
+}
+static void WriteMessage(const workflow::members_changed& value,
+                         schema::WorkflowMessage::Builder builder) {
+  auto g = builder.initMembersChanged();
+  g.setRevision(value.members.revision);
+  WriteIds(value.members.ids, g.initMembers(value.members.ids.size()));
 }
 static void WriteMessage(const workflow::request& value,
                          schema::WorkflowMessage::Builder builder) {
@@ -192,10 +204,7 @@
   auto g = builder.initAskEligibility();
   g.setId(value.id);
   Write(value.step, g.initStep());
-  auto workers = g.initWorkers(value.workers.size());
-  for (std::size_t i = 0; i < value.workers.size(); ++i) {
-    workers.set(static_cast<unsigned>(i), Text(value.workers[i].v));
-  }
+  WriteIds(value.workers, g.initWorkers(value.workers.size()));
 }
 static void WriteMessage(const workflow::eligibility_reply& value,
                          schema::WorkflowMessage::Builder builder) {
@@ -225,7 +234,15 @@
       workflow::hello_reply value;
       value.self.v = String(reader.getGreeting().getSelf());
       value.leader.v = String(reader.getGreeting().getLeader());
-      ReadList(reader.getGreeting().getMembers(), value.members, budget);
+      value.members.revision = reader.getGreeting().getMembersRevision();
+      ReadList(reader.getGreeting().getMembers(), value.members.ids, budget);
+      return value;
+    }
+    case WorkflowMessage::MEMBERS_CHANGED: {
+      const auto g = reader.getMembersChanged();
+      workflow::members_changed value;
+      value.members.revision = g.getRevision();
+      ReadList(g.getMembers(), value.members.ids, budget);
       return value;
     }
     case WorkflowMessage::REQUEST:
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -216,6 +216,11 @@
       self @10 :Text;
       leader @11 :Text;
       members @12 :List(Text);
+      membersRevision @13 :UInt64;
+    }
+    membersChanged :group {
+      revision @14 :UInt64;
+      members @15 :List(Text);
     }
   }
 }
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -48,6 +48,7 @@
 CAPNP_DECLARE_SCHEMA(d769cab1e44a1a8f);
 CAPNP_DECLARE_SCHEMA(a3145c9d3bfcd9f1);
 CAPNP_DECLARE_SCHEMA(a649c18f49d7e514);
+CAPNP_DECLARE_SCHEMA(ca3f099522c50fac);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -480,11 +481,13 @@
     ASK_ELIGIBILITY,
     ELIGIBILITY,
     GREETING,
+    MEMBERS_CHANGED,
   };
   struct Hello;
   struct AskEligibility;
   struct Eligibility;
   struct Greeting;
+  struct MembersChanged;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(daaa62dc8eba1f19, 2, 3)
@@ -554,6 +557,21 @@
   };
 };
 
+struct WorkflowMessage::MembersChanged {
+  MembersChanged() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca3f099522c50fac, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class WorkflowStep::Reader {
@@ -3343,6 +3361,9 @@
   inline bool isGreeting() const;
   inline typename Greeting::Reader getGreeting() const;
 
+  inline bool isMembersChanged() const;
+  inline typename MembersChanged::Reader getMembersChanged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3404,6 +3425,10 @@
   inline typename Greeting::Builder getGreeting();
   inline typename Greeting::Builder initGreeting();
 
+  inline bool isMembersChanged();
+  inline typename MembersChanged::Builder getMembersChanged();
+  inline typename MembersChanged::Builder initMembersChanged();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3731,6 +3756,8 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
 
+  inline  ::uint64_t getMembersRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3781,6 +3808,9 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
 
+  inline  ::uint64_t getMembersRevision();
+  inline void setMembersRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3807,6 +3837,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class WorkflowMessage::MembersChanged::Reader {
+public:
+  typedef MembersChanged Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowMessage::MembersChanged::Builder {
+public:
+  typedef MembersChanged Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkflowMessage::MembersChanged::Pipeline {
+public:
+  typedef MembersChanged Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint32_t WorkflowStep::Reader::getCount() const {
@@ -7382,11 +7499,35 @@
 inline typename WorkflowMessage::Greeting::Builder WorkflowMessage::Builder::initGreeting() {
   _builder.setDataField<WorkflowMessage::Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::GREETING);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename WorkflowMessage::Greeting::Builder(_builder);
 }
+inline bool WorkflowMessage::Reader::isMembersChanged() const {
+  return which() == WorkflowMessage::MEMBERS_CHANGED;
+}
+inline bool WorkflowMessage::Builder::isMembersChanged() {
+  return which() == WorkflowMessage::MEMBERS_CHANGED;
+}
+inline typename WorkflowMessage::MembersChanged::Reader WorkflowMessage::Reader::getMembersChanged() const {
+  KJ_IREQUIRE((which() == WorkflowMessage::MEMBERS_CHANGED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowMessage::MembersChanged::Reader(_reader);
+}
+inline typename WorkflowMessage::MembersChanged::Builder WorkflowMessage::Builder::getMembersChanged() {
+  KJ_IREQUIRE((which() == WorkflowMessage::MEMBERS_CHANGED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowMessage::MembersChanged::Builder(_builder);
+}
+inline typename WorkflowMessage::MembersChanged::Builder WorkflowMessage::Builder::initMembersChanged() {
+  _builder.setDataField<WorkflowMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::MEMBERS_CHANGED);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename WorkflowMessage::MembersChanged::Builder(_builder);
+}
 inline bool WorkflowMessage::Hello::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7694,6 +7835,72 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t WorkflowMessage::Greeting::Reader::getMembersRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkflowMessage::Greeting::Builder::getMembersRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowMessage::Greeting::Builder::setMembersRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t WorkflowMessage::MembersChanged::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkflowMessage::MembersChanged::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowMessage::MembersChanged::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowMessage::MembersChanged::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowMessage::MembersChanged::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader WorkflowMessage::MembersChanged::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkflowMessage::MembersChanged::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowMessage::MembersChanged::Builder::setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void WorkflowMessage::MembersChanged::Builder::setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkflowMessage::MembersChanged::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowMessage::MembersChanged::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> WorkflowMessage::MembersChanged::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/workflow/client.cpp
+++ b/src/workflow/client.cpp
@@ -22,6 +22,8 @@
 constexpr core::milliseconds kRetryPause{50};
 /// Time-out for the hello reply of a control process.
 constexpr core::milliseconds kHelloReplyTimeout{700};
+/// Least time between two reads of the seeds.
+constexpr core::milliseconds kSeedReadInterval{500};
 /// Requests of this time are reported in one log line.
 constexpr core::milliseconds kReportInterval{1'000};
 /// Maximum number of member addresses kept in addition to the seeds.
@@ -69,9 +71,10 @@
 
 struct client::impl : std::enable_shared_from_this<client::impl> {
   impl(client_settings client_settings, wire::connection_context client_context,
-       eligibility_checker checker)
+       seed_source seeds_source, eligibility_checker checker)
       : settings(std::move(client_settings)),
         context(std::move(client_context)),
+        read_seeds(std::move(seeds_source)),
         check_eligibility(std::move(checker)),
         connected(context.executor, context.clock) {}
 
@@ -82,6 +85,9 @@
   awaitable<void> AnswerEligibilityRequest(
       std::shared_ptr<wire::connection> connection,
       eligibility_request request);
+  void RefreshSeeds();
+  void LearnMembers(const member_list& reported, const core::member_id& from,
+                    bool from_leader);
   std::vector<core::endpoint> Candidates(const core::member_id& hint) const;
   core::endpoint AddressOf(const core::member_id& member) const {
     return {member.v, settings.port};
@@ -92,11 +98,14 @@
 
   client_settings settings;
   wire::connection_context context;
+  seed_source read_seeds;
   eligibility_checker check_eligibility;
   bool stopped = false;
   std::shared_ptr<wire::connection> connection;
   core::member_id leader;
-  std::set<core::member_id> members;
+  member_list members;
+  std::vector<core::endpoint> seeds;
+  std::optional<core::time_point> seeds_read_at;
   core::event connected;
   std::uint64_t next_id = 1;
   std::map<std::uint64_t, std::shared_ptr<pending_request>> pending;
@@ -105,13 +114,37 @@
   core::time_point counts_begin{};
 };
 
+/// Reads the seeds again while no leader is found: a client that was cut off
+/// while the members were replaced knows none of the present ones.
+void client::impl::RefreshSeeds() {
+  const core::time_point now = context.clock.Now();
+  const bool is_fresh =
+      seeds_read_at && now < *seeds_read_at + kSeedReadInterval;
+  if (is_fresh || !read_seeds) return;
+  seeds = read_seeds();
+  seeds_read_at = now;
+}
+
+/// A process that was cut off or removed reports members of an earlier time.
+/// The leader's report always counts: it may withdraw a change that was not
+/// committed.
+void client::impl::LearnMembers(const member_list& reported,
+                                const core::member_id& from, bool from_leader) {
+  if (reported.ids.empty() || reported.ids.size() > kMaxMembers) return;
+  if (!from_leader && reported.revision < members.revision) return;
+  if (reported == members) return;
+  members = reported;
+  spdlog::info("members_learned from={} leads={} revision={} members={}",
+               from.v, from_leader, members.revision, members.ids.size());
+}
+
 std::vector<core::endpoint> client::impl::Candidates(
     const core::member_id& hint) const {
   std::vector<core::endpoint> addresses;
-  for (const core::member_id& member : members) {
+  for (const core::member_id& member : members.ids) {
     addresses.push_back(AddressOf(member));
   }
-  for (const core::endpoint& seed : settings.seeds) addresses.push_back(seed);
+  for (const core::endpoint& seed : seeds) addresses.push_back(seed);
   if (!settings.self.v.empty()) addresses.push_back(AddressOf(settings.self));
   std::sort(addresses.begin(), addresses.end());
   addresses.erase(std::unique(addresses.begin(), addresses.end()),
@@ -149,9 +182,7 @@
     opened->Close();
     co_return wire::Malformed(address.address);
   }
-  if (!reply->members.empty() && reply->members.size() <= kMaxMembers) {
-    members = {reply->members.begin(), reply->members.end()};
-  }
+  LearnMembers(reply->members, reply->self, reply->leader == reply->self);
   leader_named = reply->leader;
   if (reply->leader != reply->self) {
     opened->Close();
@@ -167,6 +198,7 @@
   core::member_id hint;
   while (!stopped) {
     bool found = false;
+    RefreshSeeds();
     for (const core::endpoint& address : Candidates(hint)) {
       core::member_id named;
       auto opened = co_await Open(address, named);
@@ -245,6 +277,9 @@
       pending.erase(it);
       request->result = std::move(reply->body);
       request->done.NotifyAll();
+    } else if (const auto* const changed =
+                   std::get_if<members_changed>(&*message)) {
+      LearnMembers(changed->members, leader, true);
     } else if (auto* const check =
                    std::get_if<eligibility_request>(&*message)) {
       asio::co_spawn(context.executor,
@@ -268,9 +303,10 @@
 }
 
 client::client(client_settings settings,
-               const wire::connection_context& context,
+               const wire::connection_context& context, seed_source seeds,
                eligibility_checker check_eligibility)
     : impl_(std::make_shared<impl>(std::move(settings), context,
+                                   std::move(seeds),
                                    std::move(check_eligibility))) {}
 
 client::~client() {
@@ -336,4 +372,6 @@
 
 core::member_id client::Leader() const { return impl_->leader; }
 
+const member_list& client::Members() const { return impl_->members; }
+
 }  // namespace mangoplank::workflow
--- a/src/workflow/client_test.cpp
+++ b/src/workflow/client_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <memory>
+
 #include "mangoplank/wire/codec.h"
 #include "wire/loop_test_support.h"
 
@@ -18,7 +21,8 @@
     const auto hello_frame = co_await connection->Receive();
     if (!hello_frame) co_return;
     const core::member_id self{"127.0.0.1"};
-    connection->Send(wire::Encode(message(hello_reply{self, self, {self}})));
+    connection->Send(
+        wire::Encode(message(hello_reply{self, self, {1, {self}}})));
     while (true) {
       const auto frame = co_await connection->Receive();
       if (!frame) co_return;
@@ -47,8 +51,8 @@
   client_settings s;
   s.name = "test";
   s.port = leader.Port();
-  s.seeds = {{"127.0.0.1", leader.Port()}};
-  client c(s, Context(), {});
+  const std::vector<core::endpoint> seeds{{"127.0.0.1", leader.Port()}};
+  client c(s, Context(), [&] { return seeds; }, {});
   c.Start();
   for (const core::failure& refusal :
        {core::failure(core::not_leader{}), core::failure(core::not_found{})}) {
@@ -66,5 +70,159 @@
   }
 }
 
+/// Control processes on loopback addresses, with one port as in a cell. They
+/// report the members they are given, and close all connections when they stop.
+class members_test : public wire::loop_test {
+ public:
+  struct control {
+    std::unique_ptr<wire::listener> listener;
+    std::vector<std::shared_ptr<wire::connection>> connections;
+    hello_reply reply;
+  };
+
+  static std::string Address(int number) {
+    return "127.0.0." + std::to_string(number);
+  }
+  static core::member_id Id(int number) { return {Address(number)}; }
+  static member_list Members(core::revision revision,
+                             const std::vector<int>& numbers) {
+    member_list list{revision, {}};
+    for (const int number : numbers) list.ids.push_back(Id(number));
+    return list;
+  }
+
+  /// Starts a control process that names `leader`, or none if that is 0.
+  control& StartControl(int number, int leader, member_list members) {
+    auto& started = controls_[number];
+    started = std::make_unique<control>();
+    control* const c = started.get();
+    c->reply = {Id(number), leader == 0 ? core::member_id() : Id(leader),
+                std::move(members)};
+    c->listener = std::make_unique<wire::listener>(
+        Context(),
+        [c](auto connection) { return Greet(*c, std::move(connection)); }, 8);
+    EXPECT_TRUE(c->listener->Start({Address(number), port_}));
+    port_ = c->listener->Port();
+    return *c;
+  }
+  static core::awaitable<void> Greet(
+      control& c, std::shared_ptr<wire::connection> connection) {
+    c.connections.push_back(connection);
+    const auto hello_frame = co_await connection->Receive();
+    if (!hello_frame) co_return;
+    connection->Send(wire::Encode(message(c.reply)));
+    co_await connection->Receive();
+  }
+  void StopControl(int number) {
+    control& c = *controls_[number];
+    c.listener.reset();
+    for (const auto& connection : c.connections) connection->Close();
+    c.connections.clear();
+  }
+  static void Report(const control& c, const member_list& members) {
+    for (const auto& connection : c.connections) {
+      connection->Send(wire::Encode(message(members_changed{members})));
+    }
+  }
+  client MakeClient() {
+    client_settings s;
+    s.name = "test";
+    s.port = port_;
+    return client(s, Context(),
+                  [this] {
+                    std::vector<core::endpoint> seeds;
+                    for (const int number : seeds_) {
+                      seeds.push_back({Address(number), port_});
+                    }
+                    return seeds;
+                  },
+                  {});
+  }
+  /// @return whether the client connects to this leader within 5 s.
+  bool AwaitLeader(const client& c, int number) {
+    bool found = false;
+    Run([](members_test& test, const client& tested, core::member_id leader,
+           bool& connected) -> core::awaitable<void> {
+      const auto end = test.clock_.Now() + 5s;
+      while (!connected && test.clock_.Now() < end) {
+        connected = tested.Leader() == leader;
+        co_await core::SleepFor(test.clock_, 20ms);
+      }
+    }(*this, c, Id(number), found));
+    return found;
+  }
+  void Wait(core::milliseconds time) {
+    Run([](members_test& test,
+           core::milliseconds delay) -> core::awaitable<void> {
+      co_await core::SleepFor(test.clock_, delay);
+    }(*this, time));
+  }
+
+  std::vector<int> seeds_{2};
+  std::uint16_t port_ = 0;
+  std::map<int, std::unique_ptr<control>> controls_;
+};
+
+// Guards against a client that finds no leader once all members that it knew
+// when it connected were replaced while its leader stayed.
+TEST_F(members_test, ConnectedClientLearnsNewMembersFromTheLeader) {
+  control& first = StartControl(2, 2, Members(1, {2, 3, 4}));
+  client c = MakeClient();
+  c.Start();
+  ASSERT_TRUE(AwaitLeader(c, 2));
+  StartControl(5, 5, Members(9, {5, 6, 7}));
+  Report(first, Members(8, {2, 5, 6}));
+  Wait(100ms);
+  StopControl(2);
+  EXPECT_TRUE(AwaitLeader(c, 5));
+}
+
+// Guards against a client that was without a leader while all members and
+// seeds were replaced, and tries those of its start for good.
+TEST_F(members_test, ClientWithoutALeaderReadsTheSeedsAgain) {
+  StartControl(2, 2, Members(1, {2, 3, 4}));
+  client c = MakeClient();
+  c.Start();
+  ASSERT_TRUE(AwaitLeader(c, 2));
+  StopControl(2);
+  StartControl(8, 8, Members(9, {8, 9}));
+  Wait(1s);
+  seeds_ = {8, 9};
+  EXPECT_TRUE(AwaitLeader(c, 8));
+}
+
+// Guards against members of an earlier time, as a removed process reports them,
+// that replace the present ones.
+TEST_F(members_test, AnOlderListOfAnotherProcessIsIgnored) {
+  control& leader = StartControl(2, 2, Members(5, {2, 6}));
+  client c = MakeClient();
+  c.Start();
+  ASSERT_TRUE(AwaitLeader(c, 2));
+  // The seed was removed from the members and does not know it.
+  StartControl(3, 0, Members(1, {3, 4}));
+  seeds_ = {3};
+  StopControl(2);
+  Wait(1500ms);
+  EXPECT_EQ(c.Members(), leader.reply.members);
+  StartControl(6, 6, Members(7, {6}));
+  EXPECT_TRUE(AwaitLeader(c, 6));
+}
+
+// Guards against a member that stays unknown because a leader reported its
+// removal, lost its lead, and the removal was never committed.
+TEST_F(members_test, TheLeadersListReplacesALaterOne) {
+  control& first = StartControl(2, 2, Members(5, {2, 3}));
+  client c = MakeClient();
+  c.Start();
+  ASSERT_TRUE(AwaitLeader(c, 2));
+  Report(first, Members(9, {2}));
+  StartControl(3, 3, Members(5, {2, 3}));
+  seeds_ = {3};
+  Wait(100ms);
+  StopControl(2);
+  ASSERT_TRUE(AwaitLeader(c, 3));
+  EXPECT_EQ(c.Members(), Members(5, {2, 3}));
+}
+
 }  // namespace
 }  // namespace mangoplank::workflow
