--- a/include/mangoplank/dispatch/service.h
+++ b/include/mangoplank/dispatch/service.h
@@ -5,6 +5,7 @@
 
 #include "mangoplank/consensus/node.h"
 #include "mangoplank/dispatch/dispatcher.h"
+#include "mangoplank/dispatch/membership.h"
 #include "mangoplank/workflow/machine.h"
 #include "mangoplank/workflow/messages.h"
 
@@ -12,11 +13,7 @@
 
 struct service_settings {
   dispatcher_settings dispatcher;
-  /// Target number of voting members of the cell. Members in excess are
-  /// removed, starting with the one that has been silent for the longest time.
-  std::size_t members = 5;
-  /// Time since the last contact after which a member in excess is removed.
-  core::milliseconds member_silence{1'500};
+  membership_settings membership;
 };
 
 /// Handles requests and runs the dispatcher while this process is the leader.
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -86,7 +86,8 @@
         eligibility(eligibility),
         registry(registry),
         owner(owner),
-        leadership_changed(executor, clock) {}
+        leadership_changed(executor, clock),
+        members(settings.membership, node) {}
 
   awaitable<answer_body> Answer(workflow::submit_job request);
   awaitable<answer_body> Answer(workflow::get_job request);
@@ -102,7 +103,6 @@
   awaitable<answer_body> RecordOne(workflow::event event);
   awaitable<outcome<void>> ConfirmLeadership();
   awaitable<void> MembershipLoop();
-  awaitable<void> UpdateMembership();
   bool IsLeader() const { return active_dispatcher != nullptr; }
   const workflow::job* FindJob(const workflow::queue& queue,
                                const workflow::job_address& address) const;
@@ -122,8 +122,7 @@
   /// Set while this process is the leader.
   std::unique_ptr<dispatcher> active_dispatcher;
   core::event leadership_changed;
-  /// Members that have requested to join and are not added yet.
-  std::map<core::member_id, core::endpoint> joining;
+  membership_manager members;
   /// By worker. The sequences of earlier terms stay valid.
   std::map<core::worker_id, newest_report> newest_reports;
 };
@@ -388,60 +387,15 @@
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::join_members request) {
-  joining[request.id] = request.address;
+  members.RequestJoin(std::move(request.id), std::move(request.address));
   co_return workflow::accepted{};
 }
 
-/// Adds members that have requested to join, and removes silent ones in
-/// excess.
-awaitable<void> service::impl::UpdateMembership() {
-  const auto members = node.Status().members.members;
-  const auto is_member = [&](const core::member_id& id) {
-    return std::any_of(members.begin(), members.end(),
-                       [&](const auto& member) { return member.id == id; });
-  };
-  for (const auto& [id, address] : std::exchange(joining, {})) {
-    if (is_member(id)) continue;
-    spdlog::info("member_joins member={}", id.v);
-    const consensus::member learner{id, address, false, 0};
-    const auto added = co_await node.ChangeMember(learner, false);
-    if (!added) {
-      spdlog::warn("member_not_added member={} error={}", id.v,
-                   core::Describe(added.error()));
-    }
-    co_return;
-  }
-  std::size_t voters = 0;
-  for (const auto& member : members) voters += member.voter ? 1 : 0;
-  if (members.size() > settings.members) {
-    const auto silent = node.FindSilentMember(settings.member_silence);
-    // A voter is removed only if enough other voters remain.
-    const bool is_learner = silent && !silent->voter;
-    if (silent && (is_learner || voters > settings.members)) {
-      spdlog::info("member_removed member={}", silent->id.v);
-      const auto removed = co_await node.ChangeMember(*silent, true);
-      if (!removed) {
-        spdlog::warn("member_not_removed member={} error={}", silent->id.v,
-                     core::Describe(removed.error()));
-      }
-      co_return;
-    }
-  }
-  for (consensus::member member : members) {
-    if (member.voter || !node.IsCaughtUp(member.id)) continue;
-    member.voter = true;
-    const auto changed = co_await node.ChangeMember(member, false);
-    spdlog::info("member_votes member={} changed={}", member.id.v,
-                 changed.has_value());
-    co_return;
-  }
-}
-
 awaitable<void> service::impl::MembershipLoop() {
   const auto self = shared_from_this();
   while (!stopped) {
     co_await core::SleepFor(clock, kMembershipInterval);
-    if (!stopped && IsLeader()) co_await UpdateMembership();
+    if (!stopped && IsLeader()) co_await members.Step();
   }
 }
 
