Keep the runs of a worker that deregisters until they have ended

Cause: the call to deregister was recorded as the removal of the worker, which sets its runs to waiting, before the answer that lets it end was sent. Change: the worker gets no tasks, its lease is not renewed and its runs are stopped; it is removed once its answers show no run or its lease has ended. The call waits for that for 0.6 s, and is told to come back within the first 2 s. Why it works: a task starts elsewhere only after its worker has listed the end or has ended it by its own clock.

--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -58,6 +58,12 @@
   /// @return whether it was removed.
   core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
 
+  /// Stops the runs of a worker that leaves, and removes it once they have
+  /// ended.
+  /// @return whether the worker may end: false if some of its runs can still be
+  /// stopped and the request should be repeated.
+  core::awaitable<bool> Deregister(workflow::worker_key worker);
+
  private:
   struct impl;
   std::shared_ptr<impl> impl_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -254,6 +254,7 @@
     stats.EndedRuns(event.ending).Add();
     UpdateStatistics(*it->second, run, event.ending);
     it->second->runs.Remove(run);
+    if (it->second->deregistered_at) it->second->wakeup.NotifyAll();
     run_monitors.erase(it);
   }
   // If a member that has started ends, the workers end the rest of the gang.
@@ -481,5 +482,9 @@
   const auto self = impl_;
   co_return co_await self->RemoveUnconfirmed(std::move(worker));
 }
+awaitable<bool> dispatcher::Deregister(workflow::worker_key worker) {
+  const auto self = impl_;
+  co_return co_await self->Deregister(std::move(worker));
+}
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -34,13 +34,15 @@
   /// Another worker or incarnation answers at its address.
   kAddressTaken,
   /// Its lease has ended without an answer: it may have crashed, or be cut off.
-  kSilent
+  kSilent,
+  /// It has deregistered, and its runs or its lease have ended.
+  kDeregistered
 };
 
 /// @return the name used in logs.
 constexpr std::string_view Name(worker_loss loss) {
   constexpr std::string_view kNames[] = {"new_incarnation", "address_taken",
-                                         "silent"};
+                                         "silent", "deregistered"};
   return kNames[static_cast<std::size_t>(loss)];
 }
 
@@ -58,6 +60,9 @@
   bool removed = false;
   /// The loss of the worker is being recorded.
   bool removing = false;
+  /// Time of its first request to deregister. From then on it gets no tasks and
+  /// its lease is not renewed.
+  std::optional<core::time_point> deregistered_at;
   /// Whether a poll of this term was answered. After that the worker refuses
   /// orders of earlier leaders, and all of its runs are known.
   bool synced = false;
@@ -211,6 +216,7 @@
   workflow::run_end EndingAfterLease(const tracked_run& tracked) const;
   core::awaitable<void> EndLapsedRuns(std::shared_ptr<worker_monitor> monitor);
   core::awaitable<bool> RemoveUnconfirmed(workflow::worker_key worker);
+  core::awaitable<bool> Deregister(workflow::worker_key worker);
 
   // planner.cpp: rounds, and the order of the waiting jobs.
   core::awaitable<void> PlanLoop();
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -69,6 +69,8 @@
   std::map<core::worker_id, core::wall_time_ms> named_incarnations;
   /// Workers that do not answer.
   std::set<core::worker_id> silent;
+  /// Workers that do not receive stop orders.
+  std::set<core::worker_id> unstoppable;
   /// Workers that have ended and at whose address another one answers.
   std::set<core::worker_id> replaced;
   /// Number of crashes and cuts; a poll that waits then gets no answer.
@@ -109,7 +111,7 @@
                                      core::milliseconds timeout) override {
     stops.push_back(order);
     if (replaced.contains(to.key.id)) co_return other_incarnation{};
-    if (silent.contains(to.key.id)) {
+    if (silent.contains(to.key.id) || unstoppable.contains(to.key.id)) {
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
     }
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -176,6 +176,7 @@
 bool dispatcher::impl::IsAnswering(const worker_monitor& monitor) const {
   return monitor.synced && !monitor.unanswered && !monitor.removing &&
          monitor.clock_ms && !monitor.worker.draining &&
+         !monitor.deregistered_at &&
          clock.Now() < monitor.last_reported + settings.worker_silence;
 }
 
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -16,8 +16,8 @@
       monitor->removed) {
     co_return;
   }
-  if (IsFinal(job->phase)) {
-    // Cancelled before any order was sent.
+  if (IsFinal(job->phase) || monitor->deregistered_at) {
+    // Cancelled, or the worker has left, before any order was sent.
     co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
     co_return;
   }
@@ -121,7 +121,10 @@
 /// may have shrunk, or the run may have been stopped since.
 bool dispatcher::impl::MayRepeatStart(const worker_monitor& monitor,
                                       const workflow::run_id& run) {
-  if (stopped || monitor.removed || monitor.worker.draining) return false;
+  if (stopped || monitor.removed || monitor.worker.draining ||
+      monitor.deregistered_at) {
+    return false;
+  }
   const auto tracked = monitor.runs.Runs().find(run);
   return tracked != monitor.runs.Runs().end() && !tracked->second.stopping &&
          IsAssignedTo(run, monitor) &&
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -352,9 +352,15 @@
                  worker.draining);
     co_return workflow::accepted{};
   }
-  spdlog::info("worker_deregistered worker={}", request.id.v);
-  workflow::event event = workflow::worker_removed{it->second.key};
-  co_return co_await RecordOne(std::move(event));
+  const workflow::worker_key key = worker.key;
+  const bool may_end = active_dispatcher != nullptr &&
+                       co_await active_dispatcher->Deregister(key);
+  if (!IsLeader()) {
+    co_return core::failure(core::not_leader{node.Status().leader});
+  }
+  spdlog::info("worker_deregistered worker={} may_end={}", key.id.v, may_end);
+  if (may_end) co_return workflow::accepted{};
+  co_return core::failure(core::unavailable{"its tasks are being stopped"});
 }
 
 awaitable<answer_body> service::impl::Answer(
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -11,6 +11,12 @@
 
 /// A run that is at work for this long does not crash its worker.
 constexpr core::milliseconds kProvenTime{30'000};
+/// Longest wait of a request to deregister: a worker expects the answer within
+/// a second.
+constexpr core::milliseconds kDeregistrationWait{600};
+/// Time after the first request to deregister in which a worker is kept waiting
+/// for its runs to stop.
+constexpr core::milliseconds kMaxStopWait{2'000};
 
 bool IsGangMember(const workflow::state& state, const workflow::run_id& run) {
   const workflow::job* const job = state.FindJob(run.task.job);
@@ -30,7 +36,7 @@
 /// had, unless they had been at work for long. An order may also have reached a
 /// worker that had crashed before.
 void dispatcher::impl::OnWorkerLost(worker_monitor& monitor, worker_loss loss) {
-  if (monitor.worker.draining) return;
+  if (monitor.worker.draining || monitor.deregistered_at) return;
   stats.LostWorkers(Name(loss)).Add();
   std::size_t starting = 0;
   std::string first;
@@ -135,6 +141,41 @@
   }
 }
 
+/// A worker that deregisters runs its tasks on until it has the answer, or for
+/// some seconds if that is lost. Runs that it does not report as ended count as
+/// active until its lease has ended; see MonitorWorker.
+awaitable<bool> dispatcher::impl::Deregister(workflow::worker_key worker) {
+  const auto self = shared_from_this();
+  const auto monitor = FindMonitor(worker);
+  if (monitor == nullptr || monitor->removed) co_return true;
+  const core::time_point now = clock.Now();
+  if (!monitor->deregistered_at) monitor->deregistered_at = now;
+  spdlog::info(
+      "worker_deregisters worker={} born={} runs={} lease_ms={}", worker.id.v,
+      worker.incarnation, monitor->runs.Size(),
+      std::chrono::duration_cast<core::milliseconds>(monitor->lease_end - now)
+          .count());
+  monitor->wakeup.NotifyAll();
+  std::vector<workflow::run_id> ordered;
+  for (const auto& [run, tracked] : monitor->runs.Runs()) {
+    if (tracked.ordered) ordered.push_back(run);
+  }
+  for (const workflow::run_id& run : ordered) Spawn(StopRun(monitor, run));
+  while (!stopped && !monitor->removed) {
+    if (monitor->runs.IsEmpty()) {
+      std::string reason = "deregistered, and all runs have ended";
+      Spawn(
+          RemoveWorker(monitor, worker_loss::kDeregistered, std::move(reason)));
+    }
+    const bool notified =
+        co_await monitor->wakeup.WaitUntil(now + kDeregistrationWait);
+    if (!notified) break;
+  }
+  co_return !stopped &&
+      (monitor->removed ||
+       clock.Now() >= *monitor->deregistered_at + kMaxStopWait);
+}
+
 awaitable<bool> dispatcher::impl::RemoveUnconfirmed(
     workflow::worker_key worker) {
   const auto monitor = FindMonitor(worker);
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -162,6 +162,15 @@
     std::shared_ptr<worker_monitor> monitor) {
   const auto self = shared_from_this();
   while (!stopped && !monitor->removed) {
+    const bool has_left =
+        monitor->deregistered_at &&
+        (monitor->runs.IsEmpty() || clock.Now() > monitor->lease_end);
+    if (has_left) {
+      std::string reason = "deregistered, and its runs or lease have ended";
+      co_await RemoveWorker(monitor, worker_loss::kDeregistered,
+                            std::move(reason));
+      co_return;
+    }
     const bool idle = monitor->synced && !monitor->unanswered &&
                       !monitor->clock_in_doubt && monitor->runs.IsEmpty() &&
                       monitor->acknowledged_ends == monitor->recorded_ends;
@@ -175,9 +184,11 @@
     }
     const bool waits =
         monitor->synced && !monitor->unanswered && !monitor->runs.IsEmpty();
-    const bool loses_answers =
+    const bool needs_short_wait =
+        monitor->deregistered_at ||
         clock.Now() < monitor->lost_answer_at + kLossMemory;
-    const core::milliseconds wait = loses_answers ? kShortPollWait : kPollWait;
+    const core::milliseconds wait =
+        needs_short_wait ? kShortPollWait : kPollWait;
     const bool had_lapsed = clock.Now() > monitor->lease_end;
     const bool answered =
         co_await Poll(monitor, waits ? wait : core::milliseconds(0));
@@ -243,7 +254,8 @@
   poll_order order{term, monitor->recorded_ends, std::nullopt, wait};
   // A poll without an answer may have been carried out. The lease is not
   // renewed after it, so that the lease expires while the worker is silent.
-  if (!monitor->runs.IsEmpty() && !monitor->unanswered) {
+  if (!monitor->runs.IsEmpty() && !monitor->unanswered &&
+      !monitor->deregistered_at) {
     order.lease_until_ms = NextLeaseEndMs(*monitor);
   }
   ResolveExpiredStarts(*monitor);
