Try a failed task again where no other worker can run it

Cause: workers on which a task of the step failed were left out while others exist; others were a difference of two counts, taken before label, capacity and anti-affinity, so that workers which could never run the task counted. The exclusion had no other end. Change: others are counted after all filters, for a gang as many as it has tasks; a failure counts for 6 s, or for 2 s without others. Placement and eligibility checks share the condition. Why it works: each exclusion ends by time, so that no mix of them lasts. Test changed: AFailedTaskIsCheckedAgainOnItsOnlyWorker sends heartbeats in its last 3 s. Its worker had sent none for 5 s, so that it gets no task after the pause of 2 s for that reason; the bound and the expected starts are the same.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -277,8 +277,8 @@
   }
   if (ending != workflow::run_end::kFailed) return;
   const workflow::task_id& task = run.task;
-  failed_workers[{task.job, task.occurrence, task.step}].insert(
-      monitor.worker.key.id);
+  failed_workers[{task.job, task.occurrence, task.step}]
+                [monitor.worker.key.id] = clock.Now();
   monitor.failed_jobs.insert(task.job);
   if (monitor.failed_jobs.size() < kQuarantineThreshold) return;
   monitor.avoid_until = clock.Now() + kQuarantineTime;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -338,7 +338,8 @@
   std::vector<usable_worker*> usable_by_slot;
   std::vector<worker_slot> free_slots;
   std::map<step_key, eligibility_view> eligibility_by_step;
-  std::map<step_key, std::set<core::worker_id>> failed_workers;
+  std::map<step_key, std::map<core::worker_id, core::time_point>>
+      failed_workers;
   /// Share of the checked workers that were eligible, by queue.
   std::map<std::string, double> eligible_share;
   /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
--- a/src/dispatch/eligibility_checks.cpp
+++ b/src/dispatch/eligibility_checks.cpp
@@ -148,21 +148,23 @@
 }
 
 /// @return the workers with available capacity that the step may run on. Those
-/// on which tasks of it have failed are left out unless there are no others.
+/// on which tasks of it have failed lately are left out.
 check_candidates dispatcher::impl::FindCandidates(const workflow::step& step,
                                                   const waiting_tasks& waiting,
                                                   const eligibility_view& view,
                                                   usable_pool& pool) {
   const core::resources need = NeedOf(step);
+  const core::time_point cutoff =
+      FailureCutoff(step, waiting, &view, pool, clock.Now());
   check_candidates candidates;
-  std::vector<check_candidate> failed;
   bool fits_anywhere = false;
   for (usable_worker& worker : pool.workers) {
     if (!worker.available.Holds(need) || worker.monitor->removed) continue;
     fits_anywhere = true;
     const eligibility known = view.Of(worker.slot);
     if (known == eligibility::kIneligible ||
-        !HasLabel(worker.monitor->worker, step.required_label)) {
+        !HasLabel(worker.monitor->worker, step.required_label) ||
+        HasFailed(waiting, worker, cutoff)) {
       continue;
     }
     const std::size_t fitting =
@@ -172,18 +174,13 @@
     const bool is_eligible = known == eligibility::kEligible;
     const check_candidate candidate{
         &worker, fitting, is_eligible ? view.FindTicket(worker.slot) : nullptr};
-    if (HasFailed(waiting, worker)) {
-      failed.push_back(candidate);
-    } else if (is_eligible) {
+    if (is_eligible) {
       candidates.eligible.push_back(candidate);
     } else {
       candidates.unknown.push_back(candidate);
     }
   }
   if (!fits_anywhere) pool.unplaceable.push_back(need);
-  if (candidates.eligible.empty() && candidates.unknown.empty()) {
-    candidates.eligible = std::move(failed);
-  }
   SortByAvailable(candidates.eligible);
   SortByAvailable(candidates.unknown);
   return candidates;
--- a/src/dispatch/eligibility_checks_test.cpp
+++ b/src/dispatch/eligibility_checks_test.cpp
@@ -151,7 +151,7 @@
   RunFor(seconds(2));
   ASSERT_EQ(workers_.starts.size(), 1u);
   workers_.End({"w1"}, RunOf("j", 0, 1), run_end::kFailed);
-  RunFor(seconds(3));
+  RunWithHeartbeats(seconds(3));
   EXPECT_EQ(workers_.starts.size(), 2u);
 }
 
--- a/src/dispatch/placement_needs.cpp
+++ b/src/dispatch/placement_needs.cpp
@@ -6,6 +6,17 @@
 
 namespace mangoplank::dispatch {
 
+namespace {
+
+/// Time for which a worker gets no more tasks of a step that has failed there,
+/// if others could run them: longer than a worker usually fails all tasks.
+constexpr core::milliseconds kFailureMemory{6'000};
+/// The same if no other worker could run the tasks. A worker that fails all of
+/// them at once must not use up their attempts.
+constexpr core::milliseconds kRetryDelay{2'000};
+
+}  // namespace
+
 core::resources NeedOf(const workflow::step& step) {
   core::resources need = step.need;
   if (step.filler) need.cpu_milli = 0;
@@ -33,9 +44,36 @@
                                     label) != worker.labels.end();
 }
 
-bool HasFailed(const waiting_tasks& waiting, const usable_worker& worker) {
-  return !waiting.failed_workers.empty() &&
-         waiting.failed_workers.contains(worker.monitor->worker.key.id);
+bool HasFailed(const waiting_tasks& waiting, const usable_worker& worker,
+               core::time_point cutoff) {
+  if (waiting.failed_workers.empty()) return false;
+  const auto failed =
+      waiting.failed_workers.find(worker.monitor->worker.key.id);
+  return failed != waiting.failed_workers.end() && failed->second > cutoff;
+}
+
+core::time_point FailureCutoff(const workflow::step& step,
+                               const waiting_tasks& waiting,
+                               const eligibility_view* view,
+                               const usable_pool& pool, core::time_point now) {
+  if (waiting.failed_workers.empty()) return now;
+  const core::resources need = NeedOf(step);
+  // A gang needs workers for all of its tasks.
+  const std::size_t needed = step.gang ? waiting.indexes.size() : 1;
+  std::size_t fitting = 0;
+  for (const usable_worker& worker : pool.workers) {
+    const workflow::worker& other = worker.monitor->worker;
+    const bool is_eligible =
+        view == nullptr || view->Of(worker.slot) != eligibility::kIneligible;
+    if (!is_eligible || !HasLabel(other, step.required_label) ||
+        HasFailed(waiting, worker, now - kFailureMemory)) {
+      continue;
+    }
+    fitting += CountFitting(worker.capacity, need,
+                            MaxTasksOn(step, waiting, other.key.id));
+    if (fitting >= needed) return now - kFailureMemory;
+  }
+  return now - kRetryDelay;
 }
 
 std::uint32_t MaxTasksOn(const workflow::step& step,
--- a/src/dispatch/placement_needs.h
+++ b/src/dispatch/placement_needs.h
@@ -9,8 +9,17 @@
 /// @return whether the worker has the label; true if `label` is empty.
 bool HasLabel(const workflow::worker& worker, const std::string& label);
 
-/// @return whether tasks of the step have failed on the worker.
-bool HasFailed(const waiting_tasks& waiting, const usable_worker& worker);
+/// @return whether a task of the step has failed on the worker after `cutoff`.
+bool HasFailed(const waiting_tasks& waiting, const usable_worker& worker,
+               core::time_point cutoff);
+
+/// @param view null if the step needs no tickets.
+/// @return the time up to which failures of the step's tasks no longer count. A
+/// failure counts for longer if other workers could run the tasks.
+core::time_point FailureCutoff(const workflow::step& step,
+                               const waiting_tasks& waiting,
+                               const eligibility_view* view,
+                               const usable_pool& pool, core::time_point now);
 
 /// @return how many tasks of the step the worker may still get by the step's
 /// own limit.
--- a/src/dispatch/planner_test.cpp
+++ b/src/dispatch/planner_test.cpp
@@ -85,6 +85,119 @@
   EXPECT_TRUE(workers_.states[{"w2"}].running.contains(RunOf("j", 0, 2)));
 }
 
+class FailedTaskTest : public DispatcherTest {
+ protected:
+  workflow::worker_key AddLabelled(const std::string& id,
+                                   const std::string& label) {
+    workflow::worker worker;
+    worker.key = {{id}, 1};
+    worker.pool = "pool";
+    worker.capacity = {8'000, 100'000, 0};
+    worker.labels = {label};
+    event_log_.Apply(workflow::worker_announced{worker});
+    return worker.key;
+  }
+  void FailOn(const std::string& worker, const workflow::run_id& run) {
+    ASSERT_TRUE(workers_.states[{worker}].running.contains(run));
+    workers_.End({worker}, run, run_end::kFailed);
+  }
+};
+
+// Guards against a task that is never tried again because workers that lack its
+// label count as others that could run it.
+TEST_F(FailedTaskTest, IsRetriedOnTheOnlyWorkerWithItsLabel) {
+  AddLabelled("w1", "b");
+  AddLabelled("w2", "a");
+  AddLabelled("w3", "a");
+  BeginTerm();
+  workflow::step s = Step(1, 1'000);
+  s.required_label = "b";
+  Submit("j", {s}, queue_);
+  RunWithHeartbeats(milliseconds(500));
+  FailOn("w1", RunOf("j", 0, 1));
+  // A worker that fails all tasks at once must not use up the attempts.
+  RunWithHeartbeats(milliseconds(1'500));
+  EXPECT_EQ(CountStarts("j"), 1u);
+  RunWithHeartbeats(milliseconds(1'000));
+  EXPECT_EQ(CountStarts("j"), 2u);
+}
+
+// Guards against the same for workers that have as many tasks of the step as it
+// allows.
+TEST_F(FailedTaskTest, IsRetriedIfTheOthersHaveAllTasksThatTheStepAllows) {
+  AddWorker("w1");
+  AddWorker("w2");
+  BeginTerm();
+  workflow::step s = Step(2, 1'000);
+  s.max_per_worker = 1;
+  Submit("j", {s}, queue_);
+  RunWithHeartbeats(milliseconds(500));
+  ASSERT_EQ(CountStarts("j"), 2u);
+  const auto run = workers_.states[{"w2"}].running.begin()->first;
+  FailOn("w2", run);
+  RunWithHeartbeats(milliseconds(2'500));
+  EXPECT_EQ(CountStarts("j"), 3u);
+}
+
+// Guards against the same for a gang: the other workers can't hold all of it.
+TEST_F(FailedTaskTest, AGangIsRetriedIfTheOthersCannotHoldAllOfIt) {
+  AddWorker("w1");
+  AddWorker("w2");
+  AddWorker("w3", 1, 1'000);
+  BeginTerm();
+  workflow::step gang = Step(2, 5'000);
+  gang.gang = true;
+  Submit("j", {gang}, queue_);
+  RunWithHeartbeats(milliseconds(500));
+  ASSERT_EQ(CountStarts("j"), 2u);
+  const auto failed = workers_.states[{"w1"}].running.begin()->first;
+  const auto broken = workers_.states[{"w2"}].running.begin()->first;
+  FailOn("w1", failed);
+  workers_.End({"w2"}, broken, run_end::kGangMemberEnded);
+  RunWithHeartbeats(milliseconds(2'500));
+  EXPECT_EQ(CountStarts("j"), 4u);
+}
+
+// Guards against a task that waits for as long as the other workers are full,
+// which may be for good.
+TEST_F(FailedTaskTest, IsRetriedWhileTheOthersStayFull) {
+  AddLabelled("w1", "b");
+  AddLabelled("w2", "b");
+  AddLabelled("w3", "a");
+  BeginTerm();
+  workflow::step s = Step(1, 8'000);
+  s.required_label = "b";
+  Submit("j", {s}, queue_);
+  Submit("k", {s}, queue_);
+  RunWithHeartbeats(milliseconds(500));
+  const bool is_on_first =
+      workers_.states[{"w1"}].running.contains(RunOf("j", 0, 1));
+  FailOn(is_on_first ? "w1" : "w2", RunOf("j", 0, 1));
+  RunWithHeartbeats(seconds(5));
+  EXPECT_EQ(CountStarts("j"), 1u);
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(CountStarts("j"), 2u);
+}
+
+// Guards against the same for a step with tickets, of which the failed worker
+// has one and another one that is full.
+TEST_F(FailedTaskTest, IsRetriedWhileTheOthersWithTicketsStayFull) {
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 1'500};
+  eligibility_.eligible = {{"w1"}, {"w2"}};
+  AddWorker("w1");
+  AddWorker("w2");
+  AddWorker("w3");
+  BeginTerm();
+  Submit("j", {Step(1, 8'000)}, queue_);
+  Submit("k", {Step(1, 8'000)}, queue_);
+  RunWithHeartbeats(seconds(2));
+  ASSERT_EQ(CountStarts("j"), 1u);
+  ASSERT_EQ(CountStarts("k"), 1u);
+  FailOn(WorkerOf(RunOf("j", 0, 1)).v, RunOf("j", 0, 1));
+  RunWithHeartbeats(seconds(7));
+  EXPECT_EQ(CountStarts("j"), 2u);
+}
+
 // Guards against placing jobs on a worker that fails all of its runs.
 TEST_F(PlannerTest, AWorkerThatFailsSeveralJobsIsQuarantined) {
   AddWorker("w1", 1, 8'000);
--- a/src/dispatch/planning_types.h
+++ b/src/dispatch/planning_types.h
@@ -137,8 +137,8 @@
   std::uint32_t last_run = 0;
   /// Only if the step limits its tasks on one worker.
   std::map<core::worker_id, std::uint32_t> placed_per_worker;
-  /// Workers on which tasks of the step have failed.
-  std::set<core::worker_id> failed_workers;
+  /// Workers on which tasks of the step have failed, and when one last did.
+  std::map<core::worker_id, core::time_point> failed_workers;
 };
 
 /// What the rounds know of a job that may have unassigned tasks.
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -258,16 +258,15 @@
 }
 
 /// @return the workers that may run tasks of the step. Those on which some have
-/// failed are left out unless there are no others.
+/// failed lately are left out.
 std::vector<placement_option> dispatcher::impl::FindOptions(
     const workflow::step& step, usable_pool& pool, const waiting_tasks& waiting,
     const eligibility_view* view) {
   std::vector<placement_option> options;
-  const std::size_t candidate_count =
-      view == nullptr ? pool.workers.size() : view->tickets.size();
-  const bool has_others = candidate_count > waiting.failed_workers.size();
+  const core::time_point cutoff =
+      FailureCutoff(step, waiting, view, pool, clock.Now());
   const auto is_left_out = [&](const usable_worker& worker) {
-    return has_others && HasFailed(waiting, worker);
+    return HasFailed(waiting, worker, cutoff);
   };
   if (view == nullptr) {
     for (usable_worker& worker : pool.workers) {
