--- a/src/workflow/client.cpp
+++ b/src/workflow/client.cpp
@@ -71,10 +71,10 @@
 
 struct client::impl : std::enable_shared_from_this<client::impl> {
   impl(client_settings client_settings, wire::connection_context client_context,
-       seed_source seeds_source, eligibility_checker checker)
+       seed_source source, eligibility_checker checker)
       : settings(std::move(client_settings)),
         context(std::move(client_context)),
-        read_seeds(std::move(seeds_source)),
+        read_seeds(std::move(source)),
         check_eligibility(std::move(checker)),
         connected(context.executor, context.clock) {}
 
