Let ALeavingWorkerGetsNoTasks fail if a leaving worker is used

Cause: its worker had no run, so that it was removed at once and no placement could have used it: the test passed whatever the planner did. Change: the worker has a run that can't be stopped and stays registered; the test also looks at the assignments, as orders are held back by a second check. Conclusion: a check of the test's own kind, stricter than before; the product is unchanged.

--- a/src/dispatch/deregister_test.cpp
+++ b/src/dispatch/deregister_test.cpp
@@ -105,18 +105,23 @@
   EXPECT_LT(cluster_.clock.Now(), begin + seconds(4));
 }
 
-// Guards against tasks that are placed on a worker that deregisters without a
-// drain before.
+// Guards against tasks that are placed on a worker that has deregistered
+// without a drain, and that still has a run.
 TEST_F(DeregisterTest, ALeavingWorkerGetsNoTasks) {
   CutOrders();
+  Handle(Submit("/q/k"));
+  ASSERT_TRUE(RunUntil([&] { return IsRunningOn("v"); }, seconds(2)));
+  workers_.unstoppable.insert({"v"});
   workflow::request_body request = workflow::deregister_worker{{"v"}, 1};
-  workers_.silent.insert({"v"});
   Handle(std::move(request));
-  workers_.silent.clear();
+  ASSERT_TRUE(IsRegistered("v"));
   const std::size_t starts = workers_.starts.size();
-  Handle(Submit("/q/k"));
-  cluster_.RunFor(seconds(2));
+  Handle(Submit("/q/l"));
+  RunWithHeartbeats(seconds(2));
+  EXPECT_TRUE(IsRegistered("v"));
   EXPECT_EQ(workers_.starts.size(), starts);
+  // Nor is the task assigned there and taken back again and again.
+  EXPECT_EQ(machine_.State().FindJob("l")->tasks[0].last_run, 0u);
 }
 
 // Guards against a task that waits for the lease of an incarnation that has
