Keep writing the log while the process has no free descriptor

Change: local_disk keeps its folder open and three descriptors in reserve, which are taken early and so have low numbers. A folder whose sync failed is synced again.

--- a/include/mangoplank/consensus/local_disk.h
+++ b/include/mangoplank/consensus/local_disk.h
@@ -3,14 +3,18 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "mangoplank/consensus/interfaces.h"
 
 namespace mangoplank::consensus {
 
 /// Files of one folder of the file system. Used from one thread at a time.
-/// Failures are storage_failed: kFull if the disk is full, kSync if a sync
-/// failed, else kIo.
+/// Failures are storage_failed: kFull if the disk is full, kNoDescriptor if
+/// the process has no descriptor for a file, kSync if a sync failed, else kIo.
+///
+/// Holds some descriptors in reserve, so that the log can open its files also
+/// while connections use all others.
 class local_disk : public disk {
  public:
   /// @param folder is created when the first file is written.
@@ -36,12 +40,18 @@
   class descriptor;
 
   std::string Path(const std::string& name) const;
+  int Open(const std::string& path, int flags);
+  void FillReserve();
   core::result<void> CreateFolder();
   core::result<void> SyncFolder();
   core::result<void> WriteTemporaryFile(std::string_view data);
   core::result<void> OpenForAppend(const std::string& name);
 
   std::string folder_;
+  /// The folder, for syncs of its entries; open once it exists.
+  std::unique_ptr<descriptor> open_folder_;
+  /// Open descriptors that are closed when a file can't be opened otherwise.
+  std::vector<int> reserve_;
   /// The file of the last append stays open.
   std::string open_name_;
   std::unique_ptr<descriptor> open_;
--- a/include/mangoplank/core/failure.h
+++ b/include/mangoplank/core/failure.h
@@ -94,7 +94,9 @@
     kCorrupt,
     kMissingSnapshot,
     kOtherCell,
-    kNewerVersion
+    kNewerVersion,
+    /// The process has no file descriptor left; nothing was written.
+    kNoDescriptor
   };
   kind k = kind::kIo;
   std::string path;
--- a/src/consensus/local_disk.cpp
+++ b/src/consensus/local_disk.cpp
@@ -24,14 +24,25 @@
 using kind = core::storage_failed::kind;
 
 constexpr char kTemporaryName[] = "replacement.tmp";
+/// A replacement and a read may be open beside the segment.
+constexpr std::size_t kReservedDescriptors = 3;
+
+bool IsOutOfDescriptors(int error) {
+  return error == EMFILE || error == ENFILE;
+}
+
+kind KindOf(kind default_kind, int error) {
+  // A sync that fails for lack of room has lost pages like any other.
+  if (default_kind == kind::kSync) return default_kind;
+  if (error == ENOSPC || error == EDQUOT) return kind::kFull;
+  if (IsOutOfDescriptors(error)) return kind::kNoDescriptor;
+  return default_kind;
+}
 
 boost::leaf::error_id Fail(kind default_kind, const std::string& path,
                            int error) {
-  // A sync that fails for lack of room has lost pages like any other.
-  const bool full =
-      default_kind != kind::kSync && (error == ENOSPC || error == EDQUOT);
   return core::Fail(
-      core::storage_failed{full ? kind::kFull : default_kind, path,
+      core::storage_failed{KindOf(default_kind, error), path,
                            std::generic_category().message(error)});
 }
 
@@ -40,9 +51,9 @@
 /// An open file.
 class local_disk::descriptor {
  public:
-  descriptor(std::string path, int flags)
-      : path_(std::move(path)),
-        fd_(::open(path_.c_str(), flags | O_CLOEXEC, 0640)) {}
+  /// @param fd negative if the file could not be opened; errno tells why.
+  descriptor(std::string path, int fd)
+      : path_(std::move(path)), fd_(fd), open_error_(fd < 0 ? errno : 0) {}
   ~descriptor() {
     if (fd_ >= 0) ::close(fd_);
   }
@@ -50,7 +61,7 @@
   descriptor& operator=(const descriptor&) = delete;
 
   core::result<void> Check() const {
-    if (fd_ < 0) return Fail(kind::kIo, path_, errno);
+    if (fd_ < 0) return Fail(kind::kIo, path_, open_error_);
     return {};
   }
   core::result<void> Write(std::string_view data) {
@@ -101,11 +112,35 @@
  private:
   std::string path_;
   int fd_;
+  int open_error_;
 };
 
 local_disk::local_disk(std::string folder) : folder_(std::move(folder)) {}
 
-local_disk::~local_disk() = default;
+local_disk::~local_disk() {
+  for (const int fd : reserve_) ::close(fd);
+}
+
+/// @return a descriptor, or -1 with errno set. Uses one of the reserve if there
+/// is no other.
+int local_disk::Open(const std::string& path, int flags) {
+  constexpr mode_t kMode = 0640;
+  const int fd = ::open(path.c_str(), flags | O_CLOEXEC, kMode);
+  if (fd >= 0 || !IsOutOfDescriptors(errno) || reserve_.empty()) return fd;
+  ::close(reserve_.back());
+  reserve_.pop_back();
+  return ::open(path.c_str(), flags | O_CLOEXEC, kMode);
+}
+
+/// Opens the folder as often as the reserve lacks. The first call, at the start
+/// of the process, gets low numbers: a limit that is lowered later allows them.
+void local_disk::FillReserve() {
+  while (reserve_.size() < kReservedDescriptors) {
+    const int fd = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) return;
+    reserve_.push_back(fd);
+  }
+}
 
 std::string local_disk::Path(const std::string& name) const {
   return folder_ + "/" + name;
@@ -119,18 +154,24 @@
   const std::size_t slash = folder_.find_last_of('/');
   const std::string parent =
       slash == std::string::npos ? "." : folder_.substr(0, slash + 1);
-  descriptor d(parent, O_RDONLY | O_DIRECTORY);
+  descriptor d(parent, Open(parent, O_RDONLY | O_DIRECTORY));
   BOOST_LEAF_CHECK(d.Check());
   return d.SyncAll();
 }
 
 core::result<void> local_disk::SyncFolder() {
-  descriptor d(folder_, O_RDONLY | O_DIRECTORY);
-  BOOST_LEAF_CHECK(d.Check());
-  return d.SyncAll();
+  if (!open_folder_) {
+    auto opened = std::make_unique<descriptor>(
+        folder_, Open(folder_, O_RDONLY | O_DIRECTORY));
+    BOOST_LEAF_CHECK(opened->Check());
+    open_folder_ = std::move(opened);
+  }
+  FillReserve();
+  return open_folder_->SyncAll();
 }
 
 core::result<std::vector<std::string>> local_disk::List() {
+  FillReserve();
   std::vector<std::string> names;
   DIR* d = ::opendir(folder_.c_str());
   if (d == nullptr && errno == ENOENT) return names;
@@ -144,7 +185,7 @@
 }
 
 core::result<std::string> local_disk::Read(const std::string& name) {
-  descriptor d(Path(name), O_RDONLY);
+  descriptor d(Path(name), Open(Path(name), O_RDONLY));
   BOOST_LEAF_CHECK(d.Check());
   return d.ReadAll();
 }
@@ -152,8 +193,9 @@
 core::result<void> local_disk::OpenForAppend(const std::string& name) {
   if (open_ && open_name_ == name) return {};
   BOOST_LEAF_CHECK(CreateFolder());
-  open_ =
-      std::make_unique<descriptor>(Path(name), O_WRONLY | O_APPEND | O_CREAT);
+  open_.reset();
+  open_ = std::make_unique<descriptor>(
+      Path(name), Open(Path(name), O_WRONLY | O_APPEND | O_CREAT));
   open_name_ = name;
   entry_unsynced_ = true;
   auto checked = open_->Check();
@@ -171,7 +213,7 @@
                                          std::uint64_t from,
                                          std::string_view data) {
   // Not the file opened for appends: those ignore the position.
-  descriptor d(Path(name), O_WRONLY);
+  descriptor d(Path(name), Open(Path(name), O_WRONLY));
   BOOST_LEAF_CHECK(d.Check());
   BOOST_LEAF_CHECK(d.Seek(from));
   return d.Write(data);
@@ -180,12 +222,15 @@
 core::result<void> local_disk::Sync(const std::string& name) {
   BOOST_LEAF_CHECK(OpenForAppend(name));
   BOOST_LEAF_CHECK(open_->SyncData());
-  if (!std::exchange(entry_unsynced_, false)) return {};
-  return SyncFolder();
+  if (!entry_unsynced_) return {};
+  BOOST_LEAF_CHECK(SyncFolder());
+  entry_unsynced_ = false;
+  return {};
 }
 
 core::result<void> local_disk::WriteTemporaryFile(std::string_view data) {
-  descriptor d(Path(kTemporaryName), O_WRONLY | O_CREAT | O_TRUNC);
+  const std::string path = Path(kTemporaryName);
+  descriptor d(path, Open(path, O_WRONLY | O_CREAT | O_TRUNC));
   BOOST_LEAF_CHECK(d.Check());
   BOOST_LEAF_CHECK(d.Write(data));
   return d.SyncAll();
@@ -215,7 +260,7 @@
 
 core::result<void> local_disk::Truncate(const std::string& name,
                                         std::uint64_t size) {
-  descriptor d(Path(name), O_WRONLY | O_CREAT);
+  descriptor d(Path(name), Open(Path(name), O_WRONLY | O_CREAT));
   BOOST_LEAF_CHECK(d.Check());
   return d.Resize(size);
 }
--- a/src/consensus/node_test.cpp
+++ b/src/consensus/node_test.cpp
@@ -239,6 +239,25 @@
   EXPECT_EQ((*lost)->error(), core::failure(core::commit_unknown{}));
 }
 
+// Guards against a process that ends, and loses its term, as its log finds no
+// file descriptor for a while.
+TEST(NodeTest, WaitsForADescriptor) {
+  fake_cluster cluster(1, 15);
+  cluster.Start(0);
+  cluster.AwaitLeader();
+  const auto stopped = cluster.Spawn(cluster.At(0).Stopped());
+  cluster.members[0]->disk->append_failure = core::storage_failed{
+      core::storage_failed::kind::kNoDescriptor, "log", "injected"};
+  const auto written = cluster.Spawn(cluster.At(0).Propose("a"));
+  cluster.RunFor(seconds(30));
+  EXPECT_FALSE(written->has_value());
+  EXPECT_FALSE(stopped->has_value());
+  cluster.members[0]->disk->append_failure.reset();
+  ASSERT_TRUE(
+      cluster.RunUntil([&] { return written->has_value(); }, seconds(1)));
+  EXPECT_TRUE(**written);
+}
+
 // Guards against a new voter that counts toward a quorum before it has the log,
 // and against a removed leader that does not step down.
 TEST(NodeTest, AddsAndRemovesMembersOneAtATime) {
--- a/src/consensus/store.cpp
+++ b/src/consensus/store.cpp
@@ -463,7 +463,7 @@
     return {};
   }
   segments_.push_back(target);
-  // The batch is durable. What a full disk refuses to remove is left to the
+  // The batch is durable. What can't be removed for a shortage is left to the
   // next snapshot.
   const auto removed = core::Capture([&] {
     return RemoveObsoleteFiles(batch.new_snapshot->revision, batch.discard_log);
@@ -471,7 +471,7 @@
   if (removed) return {};
   const core::failure failure = removed.error();
   const auto& failed = std::get<core::storage_failed>(failure);
-  if (failed.k == kind::kFull) return {};
+  if (failed.k == kind::kFull || failed.k == kind::kNoDescriptor) return {};
   return core::Fail(failed);
 }
 
--- a/src/consensus/store_test.cpp
+++ b/src/consensus/store_test.cpp
@@ -3,10 +3,12 @@
 #include <gtest/gtest.h>
 #include <stdlib.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <vector>
 
 #include "consensus/fake_cluster.h"
 #include "mangoplank/consensus/local_disk.h"
@@ -417,6 +419,56 @@
   std::filesystem::remove_all(pattern);
 }
 
+/// Uses all descriptors of the process that are free.
+class all_descriptors {
+ public:
+  all_descriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &old_limit_);
+    // Those that are left are opened one by one, so the limit is lowered first.
+    const rlimit limit{kLimit, old_limit_.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    for (int fd = ::dup(0); fd >= 0; fd = ::dup(0)) used_.push_back(fd);
+  }
+  ~all_descriptors() {
+    for (const int fd : used_) ::close(fd);
+    ::setrlimit(RLIMIT_NOFILE, &old_limit_);
+  }
+  all_descriptors(const all_descriptors&) = delete;
+  all_descriptors& operator=(const all_descriptors&) = delete;
+
+  std::size_t Count() const { return used_.size(); }
+
+ private:
+  static constexpr rlim_t kLimit = 100;
+
+  rlimit old_limit_{};
+  std::vector<int> used_;
+};
+
+// Guards against a log that can't write a snapshot or start a segment, and so
+// ends its process, while connections use all descriptors.
+TEST(LocalDiskTest, WritesWhileNoDescriptorIsFree) {
+  char pattern[] = "/tmp/mangoplank-disk-XXXXXX";
+  ASSERT_NE(::mkdtemp(pattern), nullptr);
+  {
+    local_disk d(std::string(pattern) + "/data");
+    Fill(d);
+    auto reopened = Reopen(d);
+    ASSERT_TRUE(reopened.content);
+    const all_descriptors used;
+    ASSERT_GT(used.Count(), 0u);
+    for (core::revision revision = 3; revision < 6; ++revision) {
+      write_batch batch;
+      batch.entries = {Entry(revision + 1, 1, "x")};
+      batch.new_snapshot = SnapshotAt(revision);
+      const auto written =
+          core::Capture([&] { return reopened.store->Write(batch); });
+      EXPECT_TRUE(written) << core::Describe(written.error());
+    }
+  }
+  std::filesystem::remove_all(pattern);
+}
+
 // Guards against a full disk that is reported as an I/O error. Each write to
 // /dev/full fails with ENOSPC.
 TEST(LocalDiskTest, ReportsAFullDisk) {
--- a/src/consensus/writer.cpp
+++ b/src/consensus/writer.cpp
@@ -15,11 +15,17 @@
 constexpr std::uint64_t kMaxWriteBytes = 4 * 1024 * 1024;
 constexpr core::milliseconds kRoomCheckInterval{100};
 
-bool IsDiskFull(const core::outcome<void>& written) {
-  if (written) return false;
+using kind = core::storage_failed::kind;
+
+/// @return what a write lacked that may be there later, or no value.
+std::optional<kind> ShortageOf(const core::outcome<void>& written) {
+  if (written) return std::nullopt;
   const core::failure failure = written.error();
   const auto* failed = std::get_if<core::storage_failed>(&failure);
-  return failed != nullptr && failed->k == core::storage_failed::kind::kFull;
+  if (failed == nullptr) return std::nullopt;
+  const bool is_shortage =
+      failed->k == kind::kFull || failed->k == kind::kNoDescriptor;
+  return is_shortage ? std::optional(failed->k) : std::nullopt;
 }
 
 }  // namespace
@@ -45,10 +51,11 @@
   return batch;
 }
 
-/// A write that the disk refused for lack of room has acknowledged nothing, so
-/// it can be repeated. Until it succeeds this member is one with a slow sync:
-/// its votes and entries count nowhere, and as leader it still commits what a
-/// majority of the others has written.
+/// A write that was refused for lack of room or of a descriptor has
+/// acknowledged nothing, so it can be repeated. Until it succeeds this member
+/// is one with a slow sync: its votes and entries count nowhere, and as leader
+/// it still commits what a majority of the others has written. Only a disk that
+/// stays full ends the process: descriptors come back as connections end.
 core::awaitable<core::outcome<void>> node::impl::RunWhenRoom(
     std::function<core::result<void>()> work) {
   const core::time_point give_up = clock.Now() + settings.full_disk_wait;
@@ -56,13 +63,14 @@
   while (true) {
     auto attempt = work;
     const auto done = co_await runner.Run(std::move(attempt));
-    const bool is_full = IsDiskFull(done);
-    if (has_waited && !is_full) {
-      spdlog::info("{}: the disk has room again", settings.self.v);
+    const std::optional<kind> shortage = ShortageOf(done);
+    if (has_waited && !shortage) {
+      spdlog::info("{}: the disk can be written again", settings.self.v);
     }
-    if (ended || !is_full || clock.Now() >= give_up) co_return done;
+    const bool gives_up = shortage == kind::kFull && clock.Now() >= give_up;
+    if (ended || !shortage || gives_up) co_return done;
     if (!std::exchange(has_waited, true)) {
-      spdlog::warn("{}: waits for room: {}", settings.self.v,
+      spdlog::warn("{}: waits to write: {}", settings.self.v,
                    core::Describe(done.error()));
     }
     const core::time_point next = clock.Now() + kRoomCheckInterval;
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -38,6 +38,8 @@
       return "data folder of another cell";
     case storage_failed::kind::kNewerVersion:
       return "data folder of a newer version";
+    case storage_failed::kind::kNoDescriptor:
+      return "no file descriptor";
   }
   return "storage failed";
 }
--- a/src/wire/convert_core.cpp
+++ b/src/wire/convert_core.cpp
@@ -133,7 +133,7 @@
 core::storage_failed ReadStorageFailed(
     schema::Failure::StorageFailed::Reader reader) {
   using kind = core::storage_failed::kind;
-  return {Enumerator(reader.getKind(), kind::kNewerVersion),
+  return {Enumerator(reader.getKind(), kind::kNoDescriptor),
           String(reader.getPath()), String(reader.getDetail())};
 }
 
