--- a/include/mangoplank/api/server.h
+++ b/include/mangoplank/api/server.h
@@ -28,6 +28,10 @@
   friend bool operator==(const server_limits&, const server_limits&) = default;
 };
 
+/// @return the connections that a server may serve with so many descriptors: it
+/// has more open for a moment while it rejects others or closes idle ones.
+std::size_t MaxConnectionsWithin(std::size_t descriptors);
+
 /// HTTP/1.1 server with one coroutine for each connection.
 class server {
  public:
@@ -51,6 +55,9 @@
                              core::time_point deadline);
 
   std::size_t ConnectionCount() const;
+  /// Connections above a lower limit stay open until they end; the idle ones
+  /// among them are closed when others arrive.
+  void SetMaxConnections(std::size_t count);
 
  private:
   struct impl;
--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -20,6 +20,8 @@
   core::milliseconds worker_silence{3'500};
   /// Time for which records of ended jobs are kept.
   core::milliseconds ended_job_retention{125'000};
+  /// Number of workers from which other control processes relay orders.
+  std::size_t min_relayed_workers = 200;
 
   friend bool operator==(const dispatcher_settings&,
                          const dispatcher_settings&) = default;
@@ -49,10 +51,14 @@
   /// Called for each heartbeat; `clock_ms` is the worker's steady clock.
   void OnHeartbeat(const workflow::worker_key& worker, std::int64_t clock_ms);
 
+  /// Called for each report of a worker that can't be registered.
+  void OnWorkerRefused();
+
   /// Polls a registered incarnation of a worker.
   /// @return whether it answers and names itself: a report of a later one under
-  /// the same id is then false.
-  core::awaitable<bool> ConfirmIncarnation(workflow::worker_key worker);
+  /// the same id is then false; unavailable if the poll could not be sent.
+  core::awaitable<core::outcome<bool>> ConfirmIncarnation(
+      workflow::worker_key worker);
   /// Removes a registered incarnation that has answered no poll of this term
   /// and whose lease has ended, since an earlier one still reports.
   /// @return whether it was removed.
--- a/include/mangoplank/dispatch/ports.h
+++ b/include/mangoplank/dispatch/ports.h
@@ -11,125 +11,56 @@
 #include "mangoplank/core/clock.h"
 #include "mangoplank/core/failure.h"
 #include "mangoplank/workflow/messages.h"
+#include "mangoplank/workflow/orders.h"
 #include "mangoplank/workflow/state.h"
 
 /// External interfaces of the leader's dispatcher: orders to workers, the
 /// eligibility service, and the replicated log.
 namespace mangoplank::dispatch {
 
+using workflow::ended_run;
+using workflow::no_answer;
+using workflow::not_sent;
+using workflow::order_done;
+using workflow::order_refused;
+using workflow::other_incarnation;
+using workflow::poll_order;
+using workflow::refusal;
+using workflow::running_run;
+using workflow::start_order;
+using workflow::stop_order;
+using workflow::worker_report;
+
+/// Who sends an order to the worker.
+enum class order_route : std::uint8_t {
+  /// This process.
+  kDirect,
+  /// Another control process, if one is connected.
+  kRelayed
+};
+
 struct worker_target {
   workflow::worker_key key;
   core::endpoint address;
+  /// Data centre of the worker; a relay there is preferred.
+  std::string data_centre;
+  order_route route = order_route::kDirect;
 
   friend bool operator==(const worker_target&, const worker_target&) = default;
 };
 
-/// Order to start a run. Like all orders it carries the leader's term: a worker
-/// refuses a term lower than the highest that it has seen.
-struct start_order {
-  core::term term = 0;
-  workflow::run_id run;
-  std::string payload;
-  /// End of the lease on the worker's own clock, in milliseconds.
-  std::int64_t lease_until_ms = 0;
-  std::string checkpoint;
-  std::string ticket;
-
-  friend bool operator==(const start_order&, const start_order&) = default;
-};
-
-/// Order to stop a run. A worker without the run refuses any later start of it.
-struct stop_order {
-  core::term term = 0;
-  workflow::run_id run;
-
-  friend bool operator==(const stop_order&, const stop_order&) = default;
-};
-
-/// Renews the lease and reads which runs are active and which have ended.
-struct poll_order {
-  core::term term = 0;
-  /// Ends up to this number are recorded; the worker may discard them.
-  std::uint64_t recorded_ends = 0;
-  /// End of the lease on the worker's own clock; without one the lease stays.
-  std::optional<std::int64_t> lease_until_ms;
-  /// The worker answers when a run ends, or after this time.
-  core::milliseconds wait{0};
-
-  friend bool operator==(const poll_order&, const poll_order&) = default;
-};
-
-enum class refusal : std::uint8_t {
-  /// The worker has seen a later term.
-  kOutdatedTerm,
-  /// The run was stopped or has ended on the worker.
-  kOldRun,
-  /// The lease in the order has expired.
-  kLeaseExpired,
-  kNoCapacity,
-  kInvalidTicket,
-  kInvalid,
-  /// The worker can't run tasks now.
-  kUnhealthy,
+/// The relay was lost before it told the result: the order may have been
+/// carried out, or may still be. It says nothing about the worker.
+struct relay_lost {
+  friend bool operator==(const relay_lost&, const relay_lost&) = default;
 };
 
-/// @return the name used in logs.
-constexpr std::string_view Name(refusal reason) {
-  constexpr std::string_view kNames[] = {"outdated_term", "old_run", "too_late",
-                                         "no_room",       "ticket",  "invalid",
-                                         "unhealthy"};
-  return kNames[static_cast<std::size_t>(reason)];
-}
-
-struct order_done {
-  /// The worker's clock, in milliseconds.
-  std::int64_t clock_ms = 0;
-  friend bool operator==(const order_done&, const order_done&) = default;
-};
-/// The worker did not carry out the order.
-struct order_refused {
-  refusal reason = refusal::kInvalid;
-  friend bool operator==(const order_refused&, const order_refused&) = default;
-};
-/// Another incarnation of the worker answered: the addressed one has ended.
-struct other_incarnation {
-  friend bool operator==(const other_incarnation&,
-                         const other_incarnation&) = default;
-};
-/// The order may have been carried out, or may still be.
-struct no_answer {
-  friend bool operator==(const no_answer&, const no_answer&) = default;
-};
-
-using order_result =
-    std::variant<order_done, order_refused, other_incarnation, no_answer>;
-
-struct running_run {
-  workflow::run_id run;
-  std::string checkpoint;
-  int percent = 0;
-  friend bool operator==(const running_run&, const running_run&) = default;
-};
-struct ended_run {
-  /// Increases by one with each end in an incarnation of the worker.
-  std::uint64_t number = 0;
-  workflow::run_id run;
-  workflow::run_end ending = workflow::run_end::kDone;
-  std::string checkpoint;
-  friend bool operator==(const ended_run&, const ended_run&) = default;
-};
-struct worker_report {
-  std::int64_t clock_ms = 0;
-  std::vector<running_run> running;
-  std::vector<ended_run> ended;
-  /// Whether the answer names the incarnation that was polled, which shows that
-  /// no later one has taken its place.
-  bool names_incarnation = false;
-  friend bool operator==(const worker_report&, const worker_report&) = default;
-};
+using order_result = std::variant<order_done, order_refused, other_incarnation,
+                                  no_answer, not_sent, relay_lost>;
 
 using poll_result =
-    std::variant<worker_report, order_refused, other_incarnation, no_answer>;
+    std::variant<worker_report, order_refused, other_incarnation, no_answer,
+                 not_sent, relay_lost>;
 
 /// Sends orders to workers. All failures are reported as the results above.
 class worker_port {
--- a/include/mangoplank/dispatch/service.h
+++ b/include/mangoplank/dispatch/service.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPLANK_DISPATCH_SERVICE_H_
 #define MANGOPLANK_DISPATCH_SERVICE_H_
 
+#include <limits>
 #include <memory>
 
 #include "mangoplank/consensus/node.h"
@@ -13,6 +14,8 @@
 
 struct service_settings {
   dispatcher_settings dispatcher;
+  /// Workers that may be registered at once; more could not be polled in time.
+  std::size_t max_workers = std::numeric_limits<std::size_t>::max();
   membership_settings membership;
 };
 
--- a/include/mangoplank/wire/connection.h
+++ b/include/mangoplank/wire/connection.h
@@ -114,6 +114,8 @@
   /// Binds the address and starts accepting.
   /// @return connection_failed with kRefused if the address can't be bound.
   core::outcome<void> Start(const core::endpoint& local);
+  /// Connections above a lower limit stay open until they end.
+  void SetMaxConnections(std::size_t count);
   /// Stops accepting and closes all open connections.
   void Stop();
   /// @return the bound port; chosen by the system if port 0 was requested.
--- a/include/mangoplank/wire/peers.h
+++ b/include/mangoplank/wire/peers.h
@@ -11,6 +11,10 @@
 /// Links between control processes.
 namespace mangoplank::wire {
 
+/// Links that an acceptor serves at once: exceeds the members of any cell and
+/// leaves spare links for reconnects.
+inline constexpr std::size_t kMaxPeerLinks = 64;
+
 /// @return whether a member is in another region than this process.
 using region_predicate = std::function<bool(const core::member_id&)>;
 
--- a/include/mangoplank/workflow/client.h
+++ b/include/mangoplank/workflow/client.h
@@ -20,6 +20,8 @@
   std::uint16_t port = 0;
   /// Id of this process if it is a member itself; empty otherwise.
   core::member_id self;
+  /// Data centre of this process.
+  std::string data_centre;
 };
 
 /// Returns the addresses of control processes that are tried in addition to the
@@ -31,15 +33,24 @@
     std::function<core::awaitable<std::optional<std::vector<eligible_worker>>>(
         task_id step, std::vector<core::worker_id> workers)>;
 
+/// Sends an order to a worker.
+using order_sender =
+    std::function<core::awaitable<order_answer>(order_request)>;
+
+/// What a process does for the leader over its connection; each may be empty.
+struct client_duties {
+  eligibility_checker check_eligibility;
+  order_sender send_order;
+};
+
 /// Maintains one connection to the leader and sends requests over it. All
 /// requests are idempotent: a request whose connection is lost is sent again to
 /// the next leader.
 class client {
  public:
   /// @param seeds called again while no leader is found; may be empty.
-  /// @param check_eligibility may be empty.
   client(client_settings settings, const wire::connection_context& context,
-         seed_source seeds, eligibility_checker check_eligibility);
+         seed_source seeds, client_duties duties);
   ~client();
 
   void Start();
--- a/include/mangoplank/workflow/messages.h
+++ b/include/mangoplank/workflow/messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "mangoplank/core/failure.h"
+#include "mangoplank/workflow/orders.h"
 #include "mangoplank/workflow/types.h"
 
 /// Messages between the leader and its clients: gateways, and control processes
@@ -101,6 +102,9 @@
   std::string name;
   /// Whether the client can call the eligibility service for the leader.
   bool can_check_eligibility = false;
+  /// Whether the client can send orders to workers for the leader.
+  bool can_relay_orders = false;
+  std::string data_centre;
   friend bool operator==(const hello&, const hello&) = default;
 };
 /// The members of the replicated log, as one process knows them.
@@ -161,8 +165,27 @@
                          const eligibility_reply&) = default;
 };
 
+/// The leader requests that a control process sends an order to a worker.
+struct order_request {
+  std::uint64_t id = 0;
+  worker_key worker;
+  core::endpoint address;
+  workflow::order order;
+  /// Time allowed for the worker's answer.
+  core::milliseconds timeout{0};
+  /// The leader's steady clock when it sent this, in milliseconds.
+  std::int64_t sent_at_ms = 0;
+  friend bool operator==(const order_request&, const order_request&) = default;
+};
+struct order_reply {
+  std::uint64_t id = 0;
+  order_answer answer;
+  friend bool operator==(const order_reply&, const order_reply&) = default;
+};
+
 using message = std::variant<hello, hello_reply, members_changed, request,
-                             answer, eligibility_request, eligibility_reply>;
+                             answer, eligibility_request, eligibility_reply,
+                             order_request, order_reply>;
 
 }  // namespace mangoplank::workflow
 
--- a/src/api/connection.h
+++ b/src/api/connection.h
@@ -39,7 +39,7 @@
   struct environment {
     core::clock& clock;
     api::handler& handler;
-    const server_limits limits;
+    server_limits limits;
     /// Responses by the first digit of the status.
     std::array<metrics::counter*, 6> responses_by_class;
     metrics::histogram& request_seconds;
--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +11,7 @@
 #include <utility>
 
 #include "api/connection.h"
+#include "mangoplank/core/task.h"
 
 namespace mangoplank::api {
 
@@ -35,6 +37,16 @@
   return out;
 }
 
+/// @return the most connections that are served or being closed.
+std::size_t HardLimit(std::size_t max_connections) {
+  return max_connections + max_connections / 10 + 1;
+}
+
+/// @return the most connections including those that are being rejected.
+std::size_t RejectionLimit(std::size_t max_connections) {
+  return HardLimit(max_connections) + max_connections / 10 + 1;
+}
+
 core::failure ListenFailed(const core::endpoint& endpoint,
                            const error_code& error) {
   spdlog::error("cannot listen on {}:{}: {}", endpoint.address, endpoint.port,
@@ -124,15 +136,14 @@
 }
 
 void server::impl::Admit(tcp::socket socket) {
-  const bool full = connections.size() >= environment.limits.max_connections;
+  const std::size_t limit = environment.limits.max_connections;
+  const bool full = connections.size() >= limit;
   // A connection that is being closed still counts, so the number may exceed
-  // the limit briefly, by at most a tenth.
-  const std::size_t hard_limit = environment.limits.max_connections +
-                                 environment.limits.max_connections / 10 + 1;
+  // the limit briefly.
   const bool reject =
-      full && (connections.size() >= hard_limit || !CloseOldestIdle());
+      full && (connections.size() >= HardLimit(limit) || !CloseOldestIdle());
   // Too many connections even to send a response.
-  if (reject && connections.size() >= 2 * hard_limit) return;
+  if (reject && connections.size() >= RejectionLimit(limit)) return;
   asio::co_spawn(
       acceptor.get_executor(),
       [](std::shared_ptr<impl> self, tcp::socket accepted,
@@ -146,10 +157,14 @@
   connection served(std::move(socket), environment);
   connections.insert(&served);
   open_connections.Set(static_cast<double>(connections.size()));
-  if (reject) {
-    co_await served.Reject();
-  } else {
-    co_await served.Run();
+  try {
+    if (reject) {
+      co_await served.Reject();
+    } else {
+      co_await served.Run();
+    }
+  } catch (...) {
+    core::LogTaskFailure("http_connection");
   }
   connections.erase(&served);
   open_connections.Set(static_cast<double>(connections.size()));
@@ -204,6 +219,19 @@
                                 self->environment.limits.linger_timeout);
 }
 
+std::size_t MaxConnectionsWithin(std::size_t descriptors) {
+  // The listener and one connection that is just being accepted.
+  constexpr std::size_t kOthers = 2;
+  const std::size_t usable = descriptors - std::min(descriptors, kOthers);
+  std::size_t count = usable * 10 / 12;
+  while (count > 0 && RejectionLimit(count) > usable) --count;
+  return count;
+}
+
+void server::SetMaxConnections(std::size_t count) {
+  impl_->environment.limits.max_connections = count;
+}
+
 std::size_t server::ConnectionCount() const {
   return impl_->connections.size();
 }
--- a/src/dispatch/connection_server.cpp
+++ b/src/dispatch/connection_server.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "dispatch/eligibility_proxy_queue.h"
+#include "mangoplank/core/task.h"
 #include "mangoplank/wire/codec.h"
 
 namespace mangoplank::dispatch {
@@ -20,13 +21,13 @@
 
 namespace {
 
-constexpr std::size_t kMaxConnections = 512;
 /// Time-out for the first message of a client.
 constexpr core::milliseconds kHelloTimeout{700};
 /// Time allowed for a reply beyond the expected time of the call.
 constexpr core::milliseconds kReplyTimeout{700};
 /// Longest time that a call waits for a proxy.
 constexpr core::milliseconds kMaxProxyWait{4'000};
+
 struct pending_check {
   pending_check(const asio::any_io_executor& executor, core::clock& clock)
       : done(executor, clock) {}
@@ -39,10 +40,13 @@
 struct connection_server::impl
     : std::enable_shared_from_this<connection_server::impl> {
   impl(const wire::connection_context& server_context, consensus::node& node,
-       core::member_id self_id)
+       core::member_id self_id, relayed_worker_port& relayed_orders,
+       std::size_t connection_limit)
       : context(server_context),
         node(node),
         self(std::move(self_id)),
+        orders(relayed_orders),
+        max_connections(connection_limit),
         proxies(context.executor, context.clock) {}
 
   awaitable<void> Serve(std::shared_ptr<wire::connection> connection);
@@ -51,12 +55,17 @@
   awaitable<void> ShareMembers();
   awaitable<void> Answer(std::shared_ptr<wire::connection> connection,
                          workflow::request request);
+  std::unique_ptr<relayed_worker_port::registration> RegisterRelay(
+      const std::shared_ptr<wire::connection>& connection,
+      const workflow::hello& hello, const std::string& address);
   message MakeHelloReply() const;
   workflow::member_list MakeMemberList() const;
 
   wire::connection_context context;
   consensus::node& node;
   core::member_id self;
+  relayed_worker_port& orders;
+  std::size_t max_connections;
   service* handler = nullptr;
   std::unique_ptr<wire::listener> listener;
   /// Connections of clients while this process is the leader.
@@ -106,6 +115,7 @@
                  connection->Peer());
     co_return;
   }
+  const std::string address = connection->Peer();
   connection->SetPeer(hello->name, false);
   connection->Send(wire::Encode(MakeHelloReply()));
   if (!handler->IsLeader()) {
@@ -119,6 +129,7 @@
     proxy_connections[proxy] = connection;
   }
   connections.insert(connection);
+  const auto relay = RegisterRelay(connection, *hello, address);
   co_await ReadLoop(connection);
   connection->Close();
   connections.erase(connection);
@@ -126,6 +137,22 @@
   proxy_connections.erase(proxy);
 }
 
+/// @param address of the client. This process has a client too, and sends its
+/// own orders directly.
+/// @return null if the client relays no orders.
+std::unique_ptr<relayed_worker_port::registration>
+connection_server::impl::RegisterRelay(
+    const std::shared_ptr<wire::connection>& connection,
+    const workflow::hello& hello, const std::string& address) {
+  if (!hello.can_relay_orders || address == self.v) return nullptr;
+  spdlog::info("relay_connected name={} data_centre={}", hello.name,
+               hello.data_centre);
+  return orders.AddRelay(
+      hello.data_centre, [connection](workflow::order_request request) {
+        connection->Send(wire::Encode(message(std::move(request))));
+      });
+}
+
 /// Closes all connections when this process loses leadership, so that the
 /// clients search for the next leader.
 awaitable<void> connection_server::impl::CloseOnLeadershipLoss() {
@@ -166,14 +193,17 @@
       co_return;
     }
     if (auto* const request = std::get_if<workflow::request>(&*message)) {
-      asio::co_spawn(context.executor, Answer(connection, std::move(*request)),
-                     asio::detached);
+      core::SpawnTask(context.executor, Answer(connection, std::move(*request)),
+                      "client_request");
     } else if (auto* const reply =
                    std::get_if<workflow::eligibility_reply>(&*message)) {
       const auto it = checks.find(reply->id);
       if (it == checks.end()) continue;
       it->second->result = std::move(*reply);
       it->second->done.NotifyAll();
+    } else if (auto* const ordered =
+                   std::get_if<workflow::order_reply>(&*message)) {
+      orders.OnReply(std::move(*ordered));
     }
   }
 }
@@ -189,8 +219,11 @@
 
 connection_server::connection_server(const wire::connection_context& context,
                                      consensus::node& node,
-                                     core::member_id self)
-    : impl_(std::make_shared<impl>(context, node, std::move(self))) {}
+                                     core::member_id self,
+                                     relayed_worker_port& relayed_orders,
+                                     std::size_t max_connections)
+    : impl_(std::make_shared<impl>(context, node, std::move(self),
+                                   relayed_orders, max_connections)) {}
 
 connection_server::~connection_server() = default;
 
@@ -202,7 +235,7 @@
       [i = impl_](std::shared_ptr<wire::connection> connection) {
         return i->Serve(std::move(connection));
       },
-      kMaxConnections);
+      impl_->max_connections);
   asio::co_spawn(impl_->context.executor, impl_->CloseOnLeadershipLoss(),
                  asio::detached);
   asio::co_spawn(impl_->context.executor, impl_->ShareMembers(),
@@ -210,6 +243,11 @@
   return impl_->listener->Start(address);
 }
 
+void connection_server::SetMaxConnections(std::size_t count) {
+  impl_->max_connections = count;
+  if (impl_->listener) impl_->listener->SetMaxConnections(count);
+}
+
 awaitable<std::optional<std::vector<workflow::eligible_worker>>>
 connection_server::Check(workflow::task_id step,
                          std::vector<core::worker_id> workers,
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -21,6 +21,10 @@
         workers_removed(
             registry.Counter("mangoplank_workflow_workers_removed_total",
                              "Workers given up by the leader")),
+        workers_refused(
+            registry.Counter("mangoplank_workflow_workers_refused_total",
+                             "Reports of workers that could not be registered "
+                             "for lack of connections")),
         leases_ended(registry.Counter(
             "mangoplank_workflow_leases_ended_total",
             "Leases that ended with runs on workers that sent heartbeats")),
@@ -56,6 +60,7 @@
   metrics::counter& orders_unanswered;
   metrics::counter& starts;
   metrics::counter& workers_removed;
+  metrics::counter& workers_refused;
   metrics::counter& leases_ended;
   metrics::counter& preempted;
   metrics::counter& eligibility_checks;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -3,10 +3,9 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "dispatch/dispatcher_impl.h"
+#include "mangoplank/core/task.h"
 
 namespace mangoplank::dispatch {
 
@@ -47,7 +46,7 @@
       round_requested(executor, clock) {}
 
 void dispatcher::impl::Spawn(awaitable<void> task) {
-  asio::co_spawn(executor, std::move(task), asio::detached);
+  core::SpawnTask(executor, std::move(task), "dispatcher");
 }
 
 /// Requests a planning round, even if the loop is not waiting for a request.
@@ -130,6 +129,7 @@
     const auto it = known.find(id);
     if (it != known.end() && it->second.key == monitor->worker.key) {
       monitor->worker = it->second;
+      monitor->pool = &usable_pools[monitor->worker.pool];
       continue;
     }
     if (it != known.end()) OnWorkerLost(*monitor, worker_loss::kNewIncarnation);
@@ -198,6 +198,7 @@
   }
   const auto monitor =
       std::make_shared<worker_monitor>(worker, slot, executor, clock);
+  monitor->pool = &usable_pools[worker.pool];
   // An earlier leader may have renewed the lease until this term began.
   monitor->leased_at = leased_at;
   monitor->lease_end =
@@ -244,7 +245,12 @@
   if (job == nullptr) return;
   ++load.ends;
   MarkWaiting(event.run.task.job);
-  const workflow::step& step = job->spec.steps[event.run.task.step];
+  const workflow::task_id& task = event.run.task;
+  const workflow::step& step = job->spec.steps[task.step];
+  if (job->unfinished_tasks[job->StepIndex(task.occurrence, task.step)] == 0) {
+    timeline.LogEnd({task.job, task.occurrence, task.step}, job->queue.name,
+                    step.gang, step.count, clock.Now());
+  }
   workflow::run_id run = event.run;
   const std::uint32_t first = step.gang ? 0 : run.task.index;
   const std::uint32_t last = step.gang ? step.count - 1 : run.task.index;
@@ -306,6 +312,7 @@
   ended_jobs.emplace_back(clock.Now() + settings.ended_job_retention,
                           job.spec.id);
   DropEligibility(job.spec.id);
+  timeline.Drop(job.spec.id);
   std::erase_if(failed_workers, [&](const auto& entry) {
     return entry.first.job == job.spec.id;
   });
@@ -474,7 +481,12 @@
                              std::int64_t clock_ms) {
   impl_->OnHeartbeat(key, clock_ms);
 }
-awaitable<bool> dispatcher::ConfirmIncarnation(workflow::worker_key worker) {
+void dispatcher::OnWorkerRefused() {
+  ++impl_->load.workers_refused;
+  impl_->stats.workers_refused.Add();
+}
+awaitable<core::outcome<bool>> dispatcher::ConfirmIncarnation(
+    workflow::worker_key worker) {
   const auto self = impl_;
   co_return co_await self->ConfirmIncarnation(std::move(worker));
 }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -13,6 +13,7 @@
 #include "dispatch/order_backoff.h"
 #include "dispatch/order_tries.h"
 #include "dispatch/planning_types.h"
+#include "dispatch/step_times.h"
 #include "mangoplank/dispatch/dispatcher.h"
 
 namespace mangoplank::dispatch {
@@ -56,6 +57,8 @@
         wakeup(executor, clock) {}
 
   workflow::worker worker;
+  /// The pool of the worker, for rounds of placement.
+  usable_pool* pool = nullptr;
   const worker_slot slot;
   bool removed = false;
   /// The loss of the worker is being recorded.
@@ -118,6 +121,10 @@
 /// worker itself; a report may be delayed, or be another writer's.
 enum class reading_source : std::uint8_t { kAnswer, kReport };
 
+/// What a poll has shown of the worker. A poll that this process could not send
+/// shows nothing.
+enum class poll_outcome : std::uint8_t { kAnswered, kUnanswered, kNotSent };
+
 struct dispatcher::impl : std::enable_shared_from_this<dispatcher::impl> {
   impl(dispatcher_settings settings, core::term term,
        boost::asio::any_io_executor io_executor, core::clock& clock,
@@ -163,18 +170,21 @@
   core::awaitable<poll_result> SendPoll(std::shared_ptr<worker_monitor> monitor,
                                         poll_order order);
   void ResolveExpiredStarts(worker_monitor& monitor) const;
-  core::awaitable<bool> Poll(std::shared_ptr<worker_monitor> monitor,
-                             core::milliseconds wait);
+  core::awaitable<poll_outcome> Poll(std::shared_ptr<worker_monitor> monitor,
+                                     core::milliseconds wait);
   core::awaitable<bool> OnReport(std::shared_ptr<worker_monitor> monitor,
                                  std::uint64_t poll_number, bool overtaken,
                                  worker_report report);
   std::vector<workflow::event> MissingRuns(const worker_monitor& monitor,
                                            std::uint64_t poll_number,
                                            const worker_report& report) const;
-  worker_target TargetOf(const worker_monitor& monitor) const;
+  worker_target TargetOf(const worker_monitor& monitor,
+                         order_route route) const;
+  order_route RouteOf(bool is_repeated) const;
   std::shared_ptr<worker_monitor> FindMonitor(
       const workflow::worker_key& worker) const;
-  core::awaitable<bool> ConfirmIncarnation(workflow::worker_key worker);
+  core::awaitable<core::outcome<bool>> ConfirmIncarnation(
+      workflow::worker_key worker);
   std::optional<std::int64_t> NextLeaseEndMs(worker_monitor& monitor);
   void UpdateClock(worker_monitor& monitor, std::int64_t clock_ms,
                    reading_source source);
@@ -222,8 +232,8 @@
   core::awaitable<void> PlanLoop();
   void PlanRound();
   void BeginRound();
-  bool IsAnswering(const worker_monitor& monitor) const;
-  std::set<std::string> FindPoolsWithoutBackoff() const;
+  bool IsAnswering(const worker_monitor& monitor, core::time_point now) const;
+  void CountBackoff(core::time_point now);
   void MarkWaiting(const std::string& job);
   void Refresh(const workflow::job& job, waiting_job& waiting);
   job_rank RankOf(const workflow::job& job) const;
@@ -279,10 +289,16 @@
   bool IsValid(const ticket& ticket) const;
   usable_worker* FindUsable(worker_slot slot, const usable_pool& pool) const;
   double EligibleShare(const workflow::queue& queue) const;
-  check_candidates FindCandidates(const workflow::step& step,
+  check_candidates FindCandidates(const workflow::queue& queue,
+                                  const workflow::step& step,
                                   const waiting_tasks& waiting,
                                   const eligibility_view& view,
-                                  usable_pool& pool);
+                                  usable_pool& pool, double expected_tasks);
+  std::optional<check_candidate> MakeCandidate(const workflow::step& step,
+                                               const waiting_tasks& waiting,
+                                               usable_worker& worker,
+                                               const core::resources& need,
+                                               core::time_point cutoff) const;
   void CheckTasks(const workflow::queue& queue, const step_key& key,
                   const workflow::step& step, const waiting_tasks& waiting,
                   eligibility_view& view, usable_pool& pool);
@@ -345,6 +361,7 @@
   /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
   std::map<std::string, double> mean_run_ms;
   std::vector<planned_run> planned_runs;
+  step_timeline timeline;
   /// Ended jobs, with the time after which their records are removed.
   std::vector<std::pair<core::time_point, std::string>> ended_jobs;
   core::event round_requested;
--- a/src/dispatch/eligibility_checks.cpp
+++ b/src/dispatch/eligibility_checks.cpp
@@ -147,42 +147,64 @@
   }
 }
 
-/// @return the workers with available capacity that the step may run on. Those
-/// on which tasks of it have failed lately are left out.
-check_candidates dispatcher::impl::FindCandidates(const workflow::step& step,
+/// @return the worker with the tasks of the step that fit there now; no value
+/// if none do, or the step must not run there.
+std::optional<check_candidate> dispatcher::impl::MakeCandidate(
+    const workflow::step& step, const waiting_tasks& waiting,
+    usable_worker& worker, const core::resources& need,
+    core::time_point cutoff) const {
+  if (!HasLabel(worker.monitor->worker, step.required_label) ||
+      HasFailed(waiting, worker, cutoff)) {
+    return std::nullopt;
+  }
+  const std::size_t fitting =
+      CountFitting(worker.available, need,
+                   MaxTasksOn(step, waiting, worker.monitor->worker.key.id));
+  if (fitting == 0) return std::nullopt;
+  return check_candidate{&worker, fitting, nullptr};
+}
+
+/// @param expected_tasks the search for workers that are not known to be
+/// eligible ends when these are expected to fit, and a check can name no more.
+/// @return the workers with available capacity that the step may run on, those
+/// with the most available first. Those on which tasks of it have failed lately
+/// are left out.
+check_candidates dispatcher::impl::FindCandidates(const workflow::queue& queue,
+                                                  const workflow::step& step,
                                                   const waiting_tasks& waiting,
                                                   const eligibility_view& view,
-                                                  usable_pool& pool) {
+                                                  usable_pool& pool,
+                                                  double expected_tasks) {
   const core::resources need = NeedOf(step);
   const core::time_point cutoff =
       FailureCutoff(step, waiting, &view, pool, clock.Now());
   check_candidates candidates;
-  bool fits_anywhere = false;
-  for (usable_worker& worker : pool.workers) {
-    if (!worker.available.Holds(need) || worker.monitor->removed) continue;
-    fits_anywhere = true;
-    const eligibility known = view.Of(worker.slot);
-    if (known == eligibility::kIneligible ||
-        !HasLabel(worker.monitor->worker, step.required_label) ||
-        HasFailed(waiting, worker, cutoff)) {
-      continue;
-    }
-    const std::size_t fitting =
-        CountFitting(worker.available, need,
-                     MaxTasksOn(step, waiting, worker.monitor->worker.key.id));
-    if (fitting == 0) continue;
-    const bool is_eligible = known == eligibility::kEligible;
-    const check_candidate candidate{
-        &worker, fitting, is_eligible ? view.FindTicket(worker.slot) : nullptr};
-    if (is_eligible) {
-      candidates.eligible.push_back(candidate);
-    } else {
-      candidates.unknown.push_back(candidate);
-    }
+  double expected = 0;
+  for (const ticket& ticket : view.tickets) {
+    usable_worker* const worker = FindUsable(ticket.slot, pool);
+    if (worker == nullptr) continue;
+    auto candidate = MakeCandidate(step, waiting, *worker, need, cutoff);
+    if (!candidate) continue;
+    candidate->ticket = &ticket;
+    candidates.eligible.push_back(*candidate);
+    expected += static_cast<double>(candidate->fitting);
   }
-  if (!fits_anywhere) pool.unplaceable.push_back(need);
   SortByAvailable(candidates.eligible);
-  SortByAvailable(candidates.unknown);
+  const double share = EligibleShare(queue);
+  bool fits_anywhere = !candidates.eligible.empty();
+  pool.by_availability.VisitDescending([&](std::uint32_t position) {
+    usable_worker& worker = pool.workers[position];
+    if (!worker.available.Holds(need) || worker.monitor->removed) return true;
+    fits_anywhere = true;
+    if (view.Of(worker.slot) != eligibility::kUnknown) return true;
+    const auto candidate = MakeCandidate(step, waiting, worker, need, cutoff);
+    if (!candidate) return true;
+    candidates.unknown.push_back(*candidate);
+    expected += share * static_cast<double>(candidate->fitting);
+    return expected < expected_tasks ||
+           candidates.unknown.size() < kMaxWorkersPerCheck;
+  });
+  if (!fits_anywhere) pool.unplaceable.push_back(need);
   return candidates;
 }
 
@@ -193,8 +215,9 @@
                                   const waiting_tasks& waiting,
                                   eligibility_view& view, usable_pool& pool) {
   if (view.check_pending || clock.Now() < view.retry_after) return;
-  const check_candidates candidates = FindCandidates(step, waiting, view, pool);
   const auto tasks = static_cast<double>(waiting.indexes.size());
+  const check_candidates candidates =
+      FindCandidates(queue, step, waiting, view, pool, tasks * kTaskMargin);
   StartCheck(queue, key, candidates,
              {tasks * kRenewalMargin, tasks * kTaskMargin}, view);
 }
@@ -210,7 +233,8 @@
   if (view.check_pending || clock.Now() < view.retry_after) return;
   const std::size_t tasks = waiting.indexes.size();
   const auto needed = static_cast<double>(tasks);
-  const check_candidates candidates = FindCandidates(step, waiting, view, pool);
+  const check_candidates candidates =
+      FindCandidates(queue, step, waiting, view, pool, needed * kGangMargin);
   const auto eligible = static_cast<double>(CountTasks(candidates.eligible));
   const double expected =
       eligible + EligibleShare(queue) *
@@ -245,15 +269,15 @@
     usable_pool& pool) const {
   const core::resources need = NeedOf(step);
   std::vector<check_candidate> unknown;
-  for (usable_worker& worker : pool.workers) {
+  pool.by_availability.VisitDescending([&](std::uint32_t position) {
+    usable_worker& worker = pool.workers[position];
     const bool is_candidate =
         view.Of(worker.slot) == eligibility::kUnknown &&
         worker.capacity.Holds(need) &&
         HasLabel(worker.monitor->worker, step.required_label);
     if (is_candidate) unknown.push_back({&worker});
-  }
-  SortByAvailable(unknown);
-  unknown.resize(std::min(unknown.size(), kMaxWorkersPerCheck));
+    return unknown.size() < kMaxWorkersPerCheck;
+  });
   return unknown;
 }
 
@@ -371,12 +395,14 @@
   stats.eligibility_checks.Add();
   ++load.checks;
   const core::time_point begin = clock.Now();
+  timeline.NoteCheck(key, begin);
   const auto answer = co_await eligibility_service.Check(step, std::move(ids),
                                                          cost, queue.priority);
   if (stopped) co_return;
   if (answer) {
     ++load.checks_answered;
     load.check_time += clock.Now() - begin;
+    timeline.NoteAnswer(key, clock.Now());
   } else {
     ++load.checks_unanswered;
   }
--- a/src/dispatch/load_report.h
+++ b/src/dispatch/load_report.h
@@ -20,6 +20,10 @@
   std::uint64_t polls_unanswered = 0;
   std::uint64_t starts = 0;
   std::uint64_t starts_unconfirmed = 0;
+  /// Orders that this process or a relay had no connection for.
+  std::uint64_t not_sent = 0;
+  /// Reports of workers for which there are no connections.
+  std::uint64_t workers_refused = 0;
   std::uint64_t ends = 0;
   std::uint64_t checks = 0;
   std::uint64_t checks_answered = 0;
--- a/src/dispatch/order_tries.h
+++ b/src/dispatch/order_tries.h
@@ -2,12 +2,11 @@
 #define MANGOPLANK_SRC_DISPATCH_ORDER_TRIES_H_
 
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <memory>
 #include <optional>
 #include <utility>
 
+#include "mangoplank/core/task.h"
 #include "mangoplank/dispatch/ports.h"
 
 /// Orders that are sent again while they have no answer.
@@ -36,7 +35,8 @@
 /// The tries of one order. A worker that is slow may still answer an earlier
 /// try while a later one is on its way, so that all of them stay open until the
 /// first answer. A connection that fails ends the order: the worker may have
-/// crashed, and its next incarnation must not get the order.
+/// crashed, and its next incarnation must not get the order. A relay that fails
+/// says nothing about the worker, so that the next try follows at once.
 template <class Result>
 class order_tries : public std::enable_shared_from_this<order_tries<Result>> {
  public:
@@ -59,9 +59,16 @@
     for (const core::milliseconds offset : kFurtherTries) {
       co_await WaitUntil(begin_ + wait_ + offset);
       if (answer_ || failed_) break;
+      relay_failed_ = false;
       if (may_repeat()) SendOnce(send, true);
     }
-    co_await WaitUntil(deadline_);
+    // A relay that fails now changes nothing: other tries are on their way.
+    while (!answer_ && !failed_ && clock_.Now() < deadline_) {
+      relay_failed_ = false;
+      co_await WaitUntil(deadline_);
+    }
+    if (!answer_ && sent_ == 0)
+      co_return tried_order<Result>{not_sent{}, false};
     if (!answer_) co_return tried_order<Result>{no_answer{}, true};
     co_return tried_order<Result>{std::move(*answer_), sent_ > answers_};
   }
@@ -70,9 +77,8 @@
   template <class Send>
   void SendOnce(const Send& send, bool is_repeated) {
     ++sent_;
-    boost::asio::co_spawn(executor_,
-                          Try(this->shared_from_this(), send, is_repeated),
-                          boost::asio::detached);
+    core::SpawnTask(executor_, Try(this->shared_from_this(), send, is_repeated),
+                    "order");
   }
 
   template <class Send>
@@ -82,7 +88,11 @@
         self->deadline_ - self->clock_.Now());
     const core::time_point try_deadline = self->clock_.Now() + timeout;
     Result result = co_await send(timeout, is_repeated);
-    if (!std::holds_alternative<no_answer>(result)) {
+    if (std::holds_alternative<not_sent>(result)) {
+      --self->sent_;
+    } else if (std::holds_alternative<relay_lost>(result)) {
+      self->relay_failed_ = true;
+    } else if (!std::holds_alternative<no_answer>(result)) {
       ++self->answers_;
       if (!self->answer_) self->answer_ = std::move(result);
     } else if (self->clock_.Now() < try_deadline) {
@@ -91,9 +101,10 @@
     self->changed_.NotifyAll();
   }
 
-  /// Returns earlier if the order has an answer or has failed.
+  /// Returns earlier if the order has an answer or has failed, or should be
+  /// tried again at once.
   core::awaitable<void> WaitUntil(core::time_point time) {
-    while (!answer_ && !failed_ && clock_.Now() < time) {
+    while (!answer_ && !failed_ && !relay_failed_ && clock_.Now() < time) {
       co_await changed_.WaitUntil(time);
     }
   }
@@ -106,6 +117,8 @@
   core::event changed_;
   std::optional<Result> answer_;
   bool failed_ = false;
+  bool relay_failed_ = false;
+  /// Tries that were sent, or are being sent.
   unsigned sent_ = 0;
   unsigned answers_ = 0;
 };
--- a/src/dispatch/placement_needs.cpp
+++ b/src/dispatch/placement_needs.cpp
@@ -94,6 +94,9 @@
   const std::int64_t after =
       std::max<std::int64_t>(0, worker.available.cpu_milli);
   pool.available_cpu_milli += after - before;
+  const auto position =
+      static_cast<std::uint32_t>(&worker - pool.workers.data());
+  pool.by_availability.Set(position, Unreserved(worker).cpu_milli);
 }
 
 void Reserve(usable_pool& pool, usable_worker& worker,
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "dispatch/dispatcher_impl.h"
+#include "dispatch/placement_needs.h"
 
 /// Rounds of placement, and the order of the waiting jobs.
 namespace mangoplank::dispatch {
@@ -52,6 +53,13 @@
   return longest;
 }
 
+/// @return whether so many workers of the pool are in back-off that only its
+/// first part counts.
+bool NeedsAllWorkers(const usable_pool& pool) {
+  const auto left = static_cast<double>(pool.answering - pool.in_backoff);
+  return left < kMinShareWithBackoff * static_cast<double>(pool.answering);
+}
+
 }  // namespace
 
 awaitable<void> dispatcher::impl::PlanLoop() {
@@ -173,38 +181,25 @@
 }
 
 /// @return whether the worker answers polls and can accept tasks at all.
-bool dispatcher::impl::IsAnswering(const worker_monitor& monitor) const {
+bool dispatcher::impl::IsAnswering(const worker_monitor& monitor,
+                                   core::time_point now) const {
   return monitor.synced && !monitor.unanswered && !monitor.removing &&
          monitor.clock_ms && !monitor.worker.draining &&
          !monitor.deregistered_at &&
-         clock.Now() < monitor.last_reported + settings.worker_silence;
+         now < monitor.last_reported + settings.worker_silence;
 }
 
-/// @return the pools of which so many workers are in back-off that only its
-/// first part counts.
-std::set<std::string> dispatcher::impl::FindPoolsWithoutBackoff() const {
-  struct pool_count {
-    std::size_t answering = 0;
-    std::size_t in_backoff = 0;
-  };
-  std::map<std::string, pool_count> counts;
+void dispatcher::impl::CountBackoff(core::time_point now) {
+  for (auto& [name, pool] : usable_pools) pool.answering = pool.in_backoff = 0;
   for (const auto& [id, monitor] : monitors) {
-    if (!IsAnswering(*monitor)) continue;
-    pool_count& count = counts[monitor->worker.pool];
-    ++count.answering;
-    if (monitor->backoff.IsActive(clock.Now())) ++count.in_backoff;
-  }
-  std::set<std::string> pools;
-  for (const auto& [name, count] : counts) {
-    const auto left = static_cast<double>(count.answering - count.in_backoff);
-    const bool has_too_few =
-        left < kMinShareWithBackoff * static_cast<double>(count.answering);
-    if (has_too_few) pools.insert(name);
+    if (!IsAnswering(*monitor, now)) continue;
+    ++monitor->pool->answering;
+    if (monitor->backoff.IsActive(now)) ++monitor->pool->in_backoff;
   }
-  return pools;
 }
 
-/// Collects the workers that can accept tasks, with their free capacity.
+/// Collects the workers that can accept tasks, with their free capacity. The
+/// clock is read once: a round looks at each worker.
 void dispatcher::impl::BeginRound() {
   for (auto& [name, pool] : usable_pools) {
     pool.workers.clear();
@@ -215,25 +210,28 @@
   usable_by_slot.assign(monitors.size() + free_slots.size(), nullptr);
   round_begin = clock.Now();
   const core::time_point now = round_begin;
-  const std::set<std::string> without_backoff = FindPoolsWithoutBackoff();
+  CountBackoff(now);
   for (const auto& [id, monitor] : monitors) {
-    const bool is_in_backoff = without_backoff.contains(monitor->worker.pool)
+    usable_pool& pool = *monitor->pool;
+    const bool is_in_backoff = NeedsAllWorkers(pool)
                                    ? monitor->backoff.IsFirstPartActive(now)
                                    : monitor->backoff.IsActive(now);
-    const bool is_usable =
-        IsAnswering(*monitor) && !is_in_backoff && now >= monitor->avoid_until;
+    const bool is_usable = IsAnswering(*monitor, now) && !is_in_backoff &&
+                           now >= monitor->avoid_until;
     if (!is_usable || IsStartingSuspect(*monitor)) continue;
     const core::resources& capacity = monitor->worker.capacity;
     const core::resources free = capacity - monitor->runs.Used();
-    usable_pool& pool = usable_pools[monitor->worker.pool];
     pool.available_cpu_milli += std::max<std::int64_t>(0, free.cpu_milli);
     pool.workers.push_back({monitor, monitor->slot, capacity, free, free,
                             monitor->runs.Releasing(),
                             std::exchange(monitor->reserved, {})});
   }
   for (auto& [name, pool] : usable_pools) {
-    for (usable_worker& worker : pool.workers) {
+    pool.by_availability.Reset(pool.workers.size());
+    for (std::uint32_t i = 0; i < pool.workers.size(); ++i) {
+      usable_worker& worker = pool.workers[i];
       usable_by_slot[worker.slot] = &worker;
+      pool.by_availability.Set(i, Unreserved(worker).cpu_milli);
     }
   }
 }
@@ -259,7 +257,9 @@
         continue;
       }
       waiting_tasks tasks = FindWaitingTasks(job, occurrence, step);
-      if (!tasks.indexes.empty()) waiting.steps.push_back(std::move(tasks));
+      if (tasks.indexes.empty()) continue;
+      timeline.NoteReady({job.spec.id, occurrence, step}, round_begin);
+      waiting.steps.push_back(std::move(tasks));
     }
   }
 }
--- a/src/dispatch/planning_types.h
+++ b/src/dispatch/planning_types.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "dispatch/availability_index.h"
 #include "dispatch/run_table.h"
 
 /// What a planning round works on. Workers are named by their slot, a small
@@ -105,6 +106,12 @@
 /// The usable workers of one pool in the current round.
 struct usable_pool {
   std::vector<usable_worker> workers;
+  /// Positions in `workers`, by processors that are available and were not
+  /// reserved in the last round.
+  availability_index by_availability;
+  /// Workers of the pool that answer, and those of them in back-off.
+  std::size_t answering = 0;
+  std::size_t in_backoff = 0;
   /// Available processors of all workers, in thousandths.
   std::int64_t available_cpu_milli = 0;
   /// A gang has reserved capacity of the pool in the current round.
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -82,6 +82,14 @@
                           std::move(reason));
     co_return;
   }
+  if (std::holds_alternative<not_sent>(result)) {
+    // No try left this process, so that the worker can't have the run.
+    ++load.not_sent;
+    spdlog::info("run_not_sent run={} worker={}", Name(planned.run),
+                 monitor->worker.key.id.v);
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
   stats.orders_unanswered.Add();
   ++load.starts_unconfirmed;
   spdlog::info("run_unconfirmed run={} worker={}", Name(planned.run),
@@ -105,9 +113,10 @@
       executor, clock, core::milliseconds(0));
   // A payload may be large, and each try has a copy of `send`.
   const auto shared = std::make_shared<const start_order>(std::move(order));
-  const auto send = [self, to = TargetOf(*monitor), shared](
-                        core::milliseconds timeout, bool) {
-    return self->workers.Start(to, *shared, timeout);
+  const auto send = [self, monitor, shared](core::milliseconds timeout,
+                                            bool is_repeated) {
+    return self->workers.Start(
+        self->TargetOf(*monitor, self->RouteOf(is_repeated)), *shared, timeout);
   };
   const auto may_repeat = [this, &monitor, &run] {
     return MayRepeatStart(*monitor, run);
@@ -137,6 +146,8 @@
                monitor.worker.key.id.v, monitor.worker.key.incarnation);
   stats.starts.Add();
   ++load.starts;
+  timeline.NoteStarted({run.task.job, run.task.occurrence, run.task.step},
+                       clock.Now());
   NoteStarted(run.task.job);
   const workflow::job* const job = event_log.State().FindJob(run.task.job);
   const bool is_first = run.number == 1 && run.task.step == 0 &&
@@ -163,10 +174,10 @@
   const auto self = shared_from_this();
   const auto tries = std::make_shared<order_tries<order_result>>(
       executor, clock, core::milliseconds(0));
-  const auto send = [self, to = TargetOf(*monitor),
-                     order = stop_order{term, run}](core::milliseconds timeout,
-                                                    bool) {
-    return self->workers.Stop(to, order, timeout);
+  const auto send = [self, monitor, order = stop_order{term, run}](
+                        core::milliseconds timeout, bool is_repeated) {
+    return self->workers.Stop(
+        self->TargetOf(*monitor, self->RouteOf(is_repeated)), order, timeout);
   };
   const auto may_repeat = [this, &monitor, &run] {
     return !stopped && !monitor->removed && monitor->runs.Contains(run);
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -1,5 +1,6 @@
 #include "mangoplank/dispatch/service.h"
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -276,10 +277,11 @@
     }
     co_return answer_body(workflow::accepted{});
   }
-  const bool is_held =
-      active_dispatcher != nullptr &&
+  if (active_dispatcher == nullptr) co_return std::nullopt;
+  const auto is_held =
       co_await active_dispatcher->ConfirmIncarnation(registered);
-  if (!is_held) co_return std::nullopt;
+  if (!is_held) co_return answer_body(is_held.error());
+  if (!*is_held) co_return std::nullopt;
   co_return answer_body(
       Invalid("incarnation", "an earlier one answers under this id"));
 }
@@ -306,6 +308,14 @@
   if (newest.worker.key.incarnation > key.incarnation) {
     co_return workflow::accepted{};
   }
+  const bool is_refused = registered == nullptr && newest.recording == 0 &&
+                          known.size() >= settings.max_workers;
+  if (is_refused) {
+    if (active_dispatcher) active_dispatcher->OnWorkerRefused();
+    co_return core::failure(core::unavailable{fmt::format(
+        "{} workers are registered, and there are no connections for more",
+        known.size())});
+  }
   const bool is_late = IsLate(request.worker, newest.worker);
   newest.worker = Merge(std::move(newest.worker), std::move(request.worker));
   newest.received_at = clock.Now();
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -68,6 +68,7 @@
                           .priority = queue.priority,
                           .resumable = step.checkpointing});
   run_monitors[run] = monitor;
+  timeline.NoteAssigned({task.job, task.occurrence, task.step}, round_begin);
   planned_runs.push_back(
       {monitor, run, option.ticket == nullptr ? "" : option.ticket->text});
 }
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -47,8 +47,18 @@
 
 }  // namespace
 
-worker_target dispatcher::impl::TargetOf(const worker_monitor& monitor) const {
-  return {monitor.worker.key, monitor.worker.address};
+worker_target dispatcher::impl::TargetOf(const worker_monitor& monitor,
+                                         order_route route) const {
+  return {monitor.worker.key, monitor.worker.address, monitor.worker.zone,
+          route};
+}
+
+/// A relay adds a hop, which pays in a cell with many workers. A further try
+/// takes the other way, as the relay may be what has failed.
+order_route dispatcher::impl::RouteOf(bool is_repeated) const {
+  const bool is_relayed =
+      !is_repeated && monitors.size() >= settings.min_relayed_workers;
+  return is_relayed ? order_route::kRelayed : order_route::kDirect;
 }
 
 /// @return whether the reading comes from another incarnation, whose clock was
@@ -190,10 +200,14 @@
     const core::milliseconds wait =
         needs_short_wait ? kShortPollWait : kPollWait;
     const bool had_lapsed = clock.Now() > monitor->lease_end;
-    const bool answered =
+    const poll_outcome outcome =
         co_await Poll(monitor, waits ? wait : core::milliseconds(0));
     if (stopped || monitor->removed) co_return;
-    if (answered) continue;
+    if (outcome == poll_outcome::kAnswered) continue;
+    if (outcome == poll_outcome::kNotSent) {
+      co_await core::SleepFor(clock, kRetryPause);
+      continue;
+    }
     const bool silent =
         clock.Now() > monitor->last_heard + settings.worker_silence;
     if (silent && clock.Now() > monitor->lease_end) {
@@ -220,12 +234,13 @@
   const auto self = shared_from_this();
   const auto tries =
       std::make_shared<order_tries<poll_result>>(executor, clock, order.wait);
-  const auto send = [self, to = TargetOf(*monitor), order](
-                        core::milliseconds timeout, bool is_repeated) {
+  const auto send = [self, monitor, order](core::milliseconds timeout,
+                                           bool is_repeated) {
     poll_order next = order;
     if (is_repeated) next.wait = core::milliseconds(0);
     ++self->load.polls;
-    return self->workers.Poll(to, next, timeout);
+    return self->workers.Poll(
+        self->TargetOf(*monitor, self->RouteOf(is_repeated)), next, timeout);
   };
   const auto may_repeat = [this, &monitor] {
     return !stopped && !monitor->removed;
@@ -248,9 +263,8 @@
   }
 }
 
-/// @return whether the worker answered.
-awaitable<bool> dispatcher::impl::Poll(std::shared_ptr<worker_monitor> monitor,
-                                       core::milliseconds wait) {
+awaitable<poll_outcome> dispatcher::impl::Poll(
+    std::shared_ptr<worker_monitor> monitor, core::milliseconds wait) {
   poll_order order{term, monitor->recorded_ends, std::nullopt, wait};
   // A poll without an answer may have been carried out. The lease is not
   // renewed after it, so that the lease expires while the worker is silent.
@@ -263,7 +277,11 @@
   const std::uint64_t acknowledged = order.recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
   auto result = co_await SendPoll(monitor, order);
-  if (stopped || monitor->removed) co_return false;
+  if (stopped || monitor->removed) co_return poll_outcome::kUnanswered;
+  if (std::holds_alternative<not_sent>(result)) {
+    ++load.not_sent;
+    co_return poll_outcome::kNotSent;
+  }
   if (auto* const report = std::get_if<worker_report>(&result)) {
     monitor->acknowledged_ends =
         std::max(monitor->acknowledged_ends, acknowledged);
@@ -271,8 +289,9 @@
     if (std::exchange(monitor->has_lapsed, false)) NoteOrderFailure(*monitor);
     const bool overtaken = monitor->reports_received != reports_before;
     ++monitor->reports_received;
-    co_return co_await OnReport(monitor, poll_number, overtaken,
-                                std::move(*report));
+    const bool recorded =
+        co_await OnReport(monitor, poll_number, overtaken, std::move(*report));
+    co_return recorded ? poll_outcome::kAnswered : poll_outcome::kUnanswered;
   }
   if (!std::exchange(monitor->unanswered, true)) {
     monitor->unanswered_since = clock.Now();
@@ -286,7 +305,7 @@
     spdlog::warn("poll_refused worker={} term={}", monitor->worker.key.id.v,
                  term);
   }
-  co_return false;
+  co_return poll_outcome::kUnanswered;
 }
 
 /// @param overtaken whether another report was received since the poll was
@@ -405,7 +424,7 @@
   return is_known ? it->second : nullptr;
 }
 
-awaitable<bool> dispatcher::impl::ConfirmIncarnation(
+awaitable<core::outcome<bool>> dispatcher::impl::ConfirmIncarnation(
     workflow::worker_key worker) {
   const auto monitor = FindMonitor(worker);
   if (monitor == nullptr || monitor->removed || monitor->unanswered) {
@@ -414,8 +433,11 @@
   // Neither renews the lease nor acknowledges more than is recorded.
   const poll_order order{term, monitor->recorded_ends, std::nullopt,
                          core::milliseconds(0)};
-  const worker_target to = TargetOf(*monitor);
+  const worker_target to = TargetOf(*monitor, order_route::kDirect);
   const auto result = co_await workers.Poll(to, order, kConfirmationTimeout);
+  if (std::holds_alternative<not_sent>(result)) {
+    co_return core::failure(core::unavailable{"no connection to the worker"});
+  }
   const auto* const report = std::get_if<worker_report>(&result);
   co_return report != nullptr && report->names_incarnation && !stopped &&
       !monitor->removed;
--- a/src/wire/codec_test.cpp
+++ b/src/wire/codec_test.cpp
@@ -31,9 +31,17 @@
 template <>
 constexpr int kLastEnumerator<control::topic> = 1;
 template <>
+constexpr int kLastEnumerator<workflow::job_phase> = 4;
+template <>
+constexpr int kLastEnumerator<workflow::job_failure> = 2;
+template <>
+constexpr int kLastEnumerator<workflow::run_end> = 10;
+template <>
+constexpr int kLastEnumerator<workflow::refusal> = 6;
+template <>
 constexpr int kLastEnumerator<core::connection_failed::kind> = 4;
 template <>
-constexpr int kLastEnumerator<core::storage_failed::kind> = 6;
+constexpr int kLastEnumerator<core::storage_failed::kind> = 7;
 
 /// Fills every field of a value with random content, by reflection, so that the
 /// tests also cover a field that the codec omits.
@@ -134,6 +142,14 @@
   return DecodeControlMessage(bytes);
 }
 
+core::result<workflow::message> Decode(std::string_view bytes,
+                                       const workflow::message&) {
+  return DecodeWorkflowMessage(bytes);
+}
+core::result<std::vector<workflow::event>> Decode(
+    std::string_view bytes, const std::vector<workflow::event>&) {
+  return DecodeWorkflowEvents(bytes);
+}
 core::result<peer_hello> Decode(std::string_view bytes, const peer_hello&) {
   return DecodePeerHello(bytes);
 }
@@ -200,6 +216,30 @@
       fill, 100, [](const auto& m, std::size_t i) { ExpectRoundTrip(m, i); });
 }
 
+TEST(CodecTest, WorkflowMessagesRoundTrip) {
+  filler fill(kSeed);
+  ForAlternatives<workflow::message>(
+      fill, 100, [](const auto& m, std::size_t i) { ExpectRoundTrip(m, i); });
+  ForAlternatives<workflow::order>(
+      fill, 50, [](const workflow::order& order, std::size_t i) {
+        workflow::order_request request;
+        request.order = order;
+        ExpectRoundTrip<workflow::message>(request, i);
+      });
+  ForAlternatives<workflow::order_answer>(
+      fill, 50, [](const workflow::order_answer& answer, std::size_t i) {
+        ExpectRoundTrip<workflow::message>(workflow::order_reply{1, answer}, i);
+      });
+}
+
+TEST(CodecTest, WorkflowEventsRoundTrip) {
+  filler fill(kSeed);
+  ForAlternatives<workflow::event>(
+      fill, 50, [](const workflow::event& event, std::size_t i) {
+        ExpectRoundTrip(std::vector<workflow::event>{event}, i);
+      });
+}
+
 TEST(CodecTest, RequestsAnswersAndFailuresRoundTrip) {
   filler fill(kSeed);
   ForAlternatives<
@@ -280,6 +320,13 @@
   ForAlternatives<control::message>(fill, 4, [&](const auto& m, std::size_t) {
     DecodeMutated(fill, m, 300);
   });
+  ForAlternatives<workflow::message>(fill, 4, [&](const auto& m, std::size_t) {
+    DecodeMutated(fill, m, 300);
+  });
+  ForAlternatives<workflow::event>(
+      fill, 4, [&](const workflow::event& event, std::size_t) {
+        DecodeMutated(fill, std::vector<workflow::event>{event}, 300);
+      });
   cell::state_image image;
   fill.Fill(image);
   DecodeMutated(fill, image, 2000);
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -17,8 +17,6 @@
                  memory_budget& budget);
 static void Read(schema::PoolSpec::Reader reader, workflow::pool& value,
                  memory_budget& budget);
-static void Read(schema::RunId::Reader reader, workflow::run_id& value,
-                 memory_budget& budget);
 static void Read(schema::WorkflowEvent::Reader reader, workflow::event& value,
                  memory_budget& budget);
 static void Read(schema::WorkflowTask::Reader reader, workflow::task& value,
@@ -208,14 +206,13 @@
            reader.getIndex()};
 }
 
-static void Write(const workflow::run_id& value,
-                  schema::RunId::Builder builder) {
+void Write(const workflow::run_id& value, schema::RunId::Builder builder) {
   Write(value.task, builder.initTask());
   builder.setNumber(value.number);
 }
 
-static void Read(schema::RunId::Reader reader, workflow::run_id& value,
-                 memory_budget& budget) {
+void Read(schema::RunId::Reader reader, workflow::run_id& value,
+          memory_budget& budget) {
   Read(reader.getTask(), value.task, budget);
   value.number = reader.getNumber();
 }
--- a/src/wire/convert_workflow.h
+++ b/src/wire/convert_workflow.h
@@ -29,6 +29,18 @@
 void Read(schema::WorkflowTaskId::Reader reader, workflow::task_id& value,
           memory_budget& budget);
 
+void Write(const workflow::run_id& value, schema::RunId::Builder builder);
+void Read(schema::RunId::Reader reader, workflow::run_id& value,
+          memory_budget& budget);
+void Write(const workflow::order_request& value,
+           schema::OrderRequest::Builder builder);
+void Read(schema::OrderRequest::Reader reader, workflow::order_request& value,
+          memory_budget& budget);
+void Write(const workflow::order_reply& value,
+           schema::OrderReply::Builder builder);
+void Read(schema::OrderReply::Reader reader, workflow::order_reply& value,
+          memory_budget& budget);
+
 void Write(const std::vector<workflow::event>& value,
            schema::WorkflowEvents::Builder builder);
 void Read(schema::WorkflowEvents::Reader reader,
--- a/src/wire/convert_workflow_messages.cpp
+++ b/src/wire/convert_workflow_messages.cpp
@@ -172,6 +172,8 @@
   auto g = builder.initHello();
   g.setName(Text(value.name));
   g.setAsksEligibility(value.can_check_eligibility);
+  g.setRelaysOrders(value.can_relay_orders);
+  g.setDataCentre(Text(value.data_centre));
 }
 static void WriteMessage(const workflow::hello_reply& value,
                          schema::WorkflowMessage::Builder builder) {
@@ -218,6 +220,15 @@
   }
 }
 
+static void WriteMessage(const workflow::order_request& value,
+                         schema::WorkflowMessage::Builder builder) {
+  Write(value, builder.initOrderRequest());
+}
+static void WriteMessage(const workflow::order_reply& value,
+                         schema::WorkflowMessage::Builder builder) {
+  Write(value, builder.initOrderReply());
+}
+
 static void Read(schema::EligibleWorker::Reader reader,
                  workflow::eligible_worker& value, memory_budget&) {
   value = {{String(reader.getId())}, String(reader.getTicket())};
@@ -227,9 +238,11 @@
                                      memory_budget& budget) {
   using schema::WorkflowMessage;
   switch (reader.which()) {
-    case WorkflowMessage::HELLO:
-      return workflow::hello{String(reader.getHello().getName()),
-                             reader.getHello().getAsksEligibility()};
+    case WorkflowMessage::HELLO: {
+      const auto g = reader.getHello();
+      return workflow::hello{String(g.getName()), g.getAsksEligibility(),
+                             g.getRelaysOrders(), String(g.getDataCentre())};
+    }
     case WorkflowMessage::GREETING: {
       workflow::hello_reply value;
       value.self.v = String(reader.getGreeting().getSelf());
@@ -267,6 +280,16 @@
       ReadList(g.getEligible(), value.eligible, budget);
       return value;
     }
+    case WorkflowMessage::ORDER_REQUEST: {
+      workflow::order_request value;
+      Read(reader.getOrderRequest(), value, budget);
+      return value;
+    }
+    case WorkflowMessage::ORDER_REPLY: {
+      workflow::order_reply value;
+      Read(reader.getOrderReply(), value, budget);
+      return value;
+    }
   }
   KJ_FAIL_REQUIRE("unknown alternative of workflow message");
 }
--- a/src/wire/listener.cpp
+++ b/src/wire/listener.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <set>
 
+#include "mangoplank/core/task.h"
 #include "mangoplank/wire/connection.h"
 
 namespace mangoplank::wire {
@@ -38,7 +39,7 @@
 
   const connection_context context;
   const connection_handler handler;
-  const std::size_t max_connections;
+  std::size_t max_connections;
   asio::ip::tcp::acceptor acceptor;
   std::set<std::shared_ptr<connection>> connections;
   bool stopped = false;
@@ -56,8 +57,8 @@
   auto conn =
       std::make_shared<connection>(context, std::move(socket), peer, false);
   connections.insert(conn);
-  asio::co_spawn(context.executor, ServeConnection(self, std::move(conn)),
-                 asio::detached);
+  core::SpawnTask(context.executor, ServeConnection(self, std::move(conn)),
+                  "wire_connection");
 }
 
 core::awaitable<void> listener::impl::AcceptConnections(
@@ -78,7 +79,11 @@
 
 core::awaitable<void> listener::impl::ServeConnection(
     std::shared_ptr<impl> self, std::shared_ptr<connection> conn) {
-  co_await self->handler(conn);
+  try {
+    co_await self->handler(conn);
+  } catch (...) {
+    core::LogTaskFailure("wire_connection");
+  }
   conn->Close();
   self->connections.erase(conn);
 }
@@ -110,6 +115,10 @@
   return core::outcome<void>();
 }
 
+void listener::SetMaxConnections(std::size_t count) {
+  impl_->max_connections = count;
+}
+
 void listener::Stop() {
   impl_->stopped = true;
   error_code ignored;
--- a/src/wire/peers.cpp
+++ b/src/wire/peers.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Exceeds the members of any cell and leaves spare links for reconnects.
-constexpr std::size_t kMaxPeerLinks = 64;
-
 class framed_link : public peer_link {
  public:
   explicit framed_link(std::shared_ptr<connection> conn)
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -194,11 +194,69 @@
   ticket @1 :Text;
 }
 
+struct RunningRun {
+  run @0 :RunId;
+  checkpoint @1 :Text;
+  percent @2 :Int32;
+}
+
+struct EndedRun {
+  number @0 :UInt64;
+  run @1 :RunId;
+  how @2 :UInt8;
+  checkpoint @3 :Text;
+}
+
+# An order to a worker that another process sends for the leader.
+struct OrderRequest {
+  id @0 :UInt64;
+  worker @1 :WorkerKey;
+  address @2 :Cell.Endpoint;
+  timeoutMs @3 :Int64;
+  sentAtMs @4 :Int64;
+  term @5 :UInt64;
+  union {
+    start :group {
+      run @6 :RunId;
+      payload @7 :Data;
+      leaseUntilMs @8 :Int64;
+      checkpoint @9 :Text;
+      ticket @10 :Text;
+    }
+    stop @11 :RunId;
+    poll :group {
+      recordedEnds @12 :UInt64;
+      renewsLease @13 :Bool;
+      renewedUntilMs @14 :Int64;
+      waitMs @15 :Int64;
+    }
+  }
+}
+
+struct OrderReply {
+  id @0 :UInt64;
+  union {
+    done @1 :Int64;
+    refused @2 :UInt8;
+    otherIncarnation @3 :Void;
+    noAnswer @4 :Void;
+    notSent @5 :Void;
+    report :group {
+      clockMs @6 :Int64;
+      running @7 :List(RunningRun);
+      ended @8 :List(EndedRun);
+      namesIncarnation @9 :Bool;
+    }
+  }
+}
+
 struct WorkflowMessage {
   union {
     hello :group {
       name @0 :Text;
       asksEligibility @1 :Bool;
+      relaysOrders @16 :Bool;
+      dataCentre @17 :Text;
     }
     request @2 :WorkflowRequest;
     answer @3 :WorkflowAnswer;
@@ -222,5 +280,7 @@
       revision @14 :UInt64;
       members @15 :List(Text);
     }
+    orderRequest @18 :OrderRequest;
+    orderReply @19 :OrderReply;
   }
 }
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -43,6 +43,13 @@
 CAPNP_DECLARE_SCHEMA(e2fb6439e478359c);
 CAPNP_DECLARE_SCHEMA(ecc96c7ed0bdb460);
 CAPNP_DECLARE_SCHEMA(85dc7147fd95f89b);
+CAPNP_DECLARE_SCHEMA(864182b4f506e46b);
+CAPNP_DECLARE_SCHEMA(fac23451853c7bae);
+CAPNP_DECLARE_SCHEMA(d5792352c8857674);
+CAPNP_DECLARE_SCHEMA(9c6e613bb8c600da);
+CAPNP_DECLARE_SCHEMA(b8fa22af825847d6);
+CAPNP_DECLARE_SCHEMA(87a05d4f23b993ec);
+CAPNP_DECLARE_SCHEMA(aa1c4a5621c2ee87);
 CAPNP_DECLARE_SCHEMA(daaa62dc8eba1f19);
 CAPNP_DECLARE_SCHEMA(ed218032f047da57);
 CAPNP_DECLARE_SCHEMA(d769cab1e44a1a8f);
@@ -468,6 +475,127 @@
   };
 };
 
+struct RunningRun {
+  RunningRun() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(864182b4f506e46b, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndedRun {
+  EndedRun() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fac23451853c7bae, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrderRequest {
+  OrderRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    START,
+    STOP,
+    POLL,
+  };
+  struct Start;
+  struct Poll;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5792352c8857674, 8, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrderRequest::Start {
+  Start() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9c6e613bb8c600da, 8, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrderRequest::Poll {
+  Poll() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8fa22af825847d6, 8, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrderReply {
+  OrderReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    DONE,
+    REFUSED,
+    OTHER_INCARNATION,
+    NO_ANSWER,
+    NOT_SENT,
+    REPORT,
+  };
+  struct Report;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(87a05d4f23b993ec, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrderReply::Report {
+  Report() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aa1c4a5621c2ee87, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct WorkflowMessage {
   WorkflowMessage() = delete;
 
@@ -482,6 +610,8 @@
     ELIGIBILITY,
     GREETING,
     MEMBERS_CHANGED,
+    ORDER_REQUEST,
+    ORDER_REPLY,
   };
   struct Hello;
   struct AskEligibility;
@@ -3323,9 +3453,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WorkflowMessage::Reader {
+class RunningRun::Reader {
 public:
-  typedef WorkflowMessage Reads;
+  typedef RunningRun Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3340,29 +3470,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isHello() const;
-  inline typename Hello::Reader getHello() const;
-
-  inline bool isRequest() const;
-  inline bool hasRequest() const;
-  inline  ::mangoplank::wire::schema::WorkflowRequest::Reader getRequest() const;
-
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::mangoplank::wire::schema::WorkflowAnswer::Reader getAnswer() const;
-
-  inline bool isAskEligibility() const;
-  inline typename AskEligibility::Reader getAskEligibility() const;
-
-  inline bool isEligibility() const;
-  inline typename Eligibility::Reader getEligibility() const;
+  inline bool hasRun() const;
+  inline  ::mangoplank::wire::schema::RunId::Reader getRun() const;
 
-  inline bool isGreeting() const;
-  inline typename Greeting::Reader getGreeting() const;
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
 
-  inline bool isMembersChanged() const;
-  inline typename MembersChanged::Reader getMembersChanged() const;
+  inline  ::int32_t getPercent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3376,9 +3490,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WorkflowMessage::Builder {
+class RunningRun::Builder {
 public:
-  typedef WorkflowMessage Builds;
+  typedef RunningRun Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3392,42 +3506,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isHello();
-  inline typename Hello::Builder getHello();
-  inline typename Hello::Builder initHello();
-
-  inline bool isRequest();
-  inline bool hasRequest();
-  inline  ::mangoplank::wire::schema::WorkflowRequest::Builder getRequest();
-  inline void setRequest( ::mangoplank::wire::schema::WorkflowRequest::Reader value);
-  inline  ::mangoplank::wire::schema::WorkflowRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::mangoplank::wire::schema::WorkflowRequest>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowRequest> disownRequest();
-
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::mangoplank::wire::schema::WorkflowAnswer::Builder getAnswer();
-  inline void setAnswer( ::mangoplank::wire::schema::WorkflowAnswer::Reader value);
-  inline  ::mangoplank::wire::schema::WorkflowAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::mangoplank::wire::schema::WorkflowAnswer>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowAnswer> disownAnswer();
-
-  inline bool isAskEligibility();
-  inline typename AskEligibility::Builder getAskEligibility();
-  inline typename AskEligibility::Builder initAskEligibility();
-
-  inline bool isEligibility();
-  inline typename Eligibility::Builder getEligibility();
-  inline typename Eligibility::Builder initEligibility();
+  inline bool hasRun();
+  inline  ::mangoplank::wire::schema::RunId::Builder getRun();
+  inline void setRun( ::mangoplank::wire::schema::RunId::Reader value);
+  inline  ::mangoplank::wire::schema::RunId::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> disownRun();
 
-  inline bool isGreeting();
-  inline typename Greeting::Builder getGreeting();
-  inline typename Greeting::Builder initGreeting();
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
 
-  inline bool isMembersChanged();
-  inline typename MembersChanged::Builder getMembersChanged();
-  inline typename MembersChanged::Builder initMembersChanged();
+  inline  ::int32_t getPercent();
+  inline void setPercent( ::int32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3439,14 +3533,15 @@
 };
 
 #if !CAPNP_LITE
-class WorkflowMessage::Pipeline {
+class RunningRun::Pipeline {
 public:
-  typedef WorkflowMessage Pipelines;
+  typedef RunningRun Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mangoplank::wire::schema::RunId::Pipeline getRun();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3455,9 +3550,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WorkflowMessage::Hello::Reader {
+class EndedRun::Reader {
 public:
-  typedef Hello Reads;
+  typedef EndedRun Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3472,10 +3567,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline bool getAsksEligibility() const;
+  inline bool hasRun() const;
+  inline  ::mangoplank::wire::schema::RunId::Reader getRun() const;
+
+  inline  ::uint8_t getHow() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3489,9 +3589,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WorkflowMessage::Hello::Builder {
+class EndedRun::Builder {
 public:
-  typedef Hello Builds;
+  typedef EndedRun Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3505,15 +3605,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline bool getAsksEligibility();
-  inline void setAsksEligibility(bool value);
+  inline bool hasRun();
+  inline  ::mangoplank::wire::schema::RunId::Builder getRun();
+  inline void setRun( ::mangoplank::wire::schema::RunId::Reader value);
+  inline  ::mangoplank::wire::schema::RunId::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> disownRun();
+
+  inline  ::uint8_t getHow();
+  inline void setHow( ::uint8_t value);
+
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3525,14 +3635,15 @@
 };
 
 #if !CAPNP_LITE
-class WorkflowMessage::Hello::Pipeline {
+class EndedRun::Pipeline {
 public:
-  typedef Hello Pipelines;
+  typedef EndedRun Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mangoplank::wire::schema::RunId::Pipeline getRun();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3541,9 +3652,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WorkflowMessage::AskEligibility::Reader {
+class OrderRequest::Reader {
 public:
-  typedef AskEligibility Reads;
+  typedef OrderRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3558,13 +3669,30 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline Which which() const;
   inline  ::uint64_t getId() const;
 
-  inline bool hasStep() const;
-  inline  ::mangoplank::wire::schema::WorkflowTaskId::Reader getStep() const;
+  inline bool hasWorker() const;
+  inline  ::mangoplank::wire::schema::WorkerKey::Reader getWorker() const;
 
-  inline bool hasWorkers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWorkers() const;
+  inline bool hasAddress() const;
+  inline  ::mangoplank::wire::schema::Endpoint::Reader getAddress() const;
+
+  inline  ::int64_t getTimeoutMs() const;
+
+  inline  ::int64_t getSentAtMs() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline bool isStart() const;
+  inline typename Start::Reader getStart() const;
+
+  inline bool isStop() const;
+  inline bool hasStop() const;
+  inline  ::mangoplank::wire::schema::RunId::Reader getStop() const;
+
+  inline bool isPoll() const;
+  inline typename Poll::Reader getPoll() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3578,9 +3706,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WorkflowMessage::AskEligibility::Builder {
+class OrderRequest::Builder {
 public:
-  typedef AskEligibility Builds;
+  typedef OrderRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3594,27 +3722,52 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline Which which();
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline bool hasStep();
-  inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder getStep();
-  inline void setStep( ::mangoplank::wire::schema::WorkflowTaskId::Reader value);
-  inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder initStep();
-  inline void adoptStep(::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId> disownStep();
+  inline bool hasWorker();
+  inline  ::mangoplank::wire::schema::WorkerKey::Builder getWorker();
+  inline void setWorker( ::mangoplank::wire::schema::WorkerKey::Reader value);
+  inline  ::mangoplank::wire::schema::WorkerKey::Builder initWorker();
+  inline void adoptWorker(::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> disownWorker();
 
-  inline bool hasWorkers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWorkers();
-  inline void setWorkers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setWorkers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWorkers(unsigned int size);
-  inline void adoptWorkers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWorkers();
+  inline bool hasAddress();
+  inline  ::mangoplank::wire::schema::Endpoint::Builder getAddress();
+  inline void setAddress( ::mangoplank::wire::schema::Endpoint::Reader value);
+  inline  ::mangoplank::wire::schema::Endpoint::Builder initAddress();
+  inline void adoptAddress(::capnp::Orphan< ::mangoplank::wire::schema::Endpoint>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint> disownAddress();
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
+  inline  ::int64_t getTimeoutMs();
+  inline void setTimeoutMs( ::int64_t value);
+
+  inline  ::int64_t getSentAtMs();
+  inline void setSentAtMs( ::int64_t value);
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline bool isStart();
+  inline typename Start::Builder getStart();
+  inline typename Start::Builder initStart();
+
+  inline bool isStop();
+  inline bool hasStop();
+  inline  ::mangoplank::wire::schema::RunId::Builder getStop();
+  inline void setStop( ::mangoplank::wire::schema::RunId::Reader value);
+  inline  ::mangoplank::wire::schema::RunId::Builder initStop();
+  inline void adoptStop(::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> disownStop();
+
+  inline bool isPoll();
+  inline typename Poll::Builder getPoll();
+  inline typename Poll::Builder initPoll();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
   template <typename, ::capnp::Kind>
@@ -3622,15 +3775,16 @@
 };
 
 #if !CAPNP_LITE
-class WorkflowMessage::AskEligibility::Pipeline {
+class OrderRequest::Pipeline {
 public:
-  typedef AskEligibility Pipelines;
+  typedef OrderRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangoplank::wire::schema::WorkflowTaskId::Pipeline getStep();
+  inline  ::mangoplank::wire::schema::WorkerKey::Pipeline getWorker();
+  inline  ::mangoplank::wire::schema::Endpoint::Pipeline getAddress();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3639,9 +3793,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WorkflowMessage::Eligibility::Reader {
+class OrderRequest::Start::Reader {
 public:
-  typedef Eligibility Reads;
+  typedef Start Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3656,12 +3810,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline bool hasRun() const;
+  inline  ::mangoplank::wire::schema::RunId::Reader getRun() const;
 
-  inline bool getKnown() const;
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
 
-  inline bool hasEligible() const;
-  inline  ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Reader getEligible() const;
+  inline  ::int64_t getLeaseUntilMs() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
+
+  inline bool hasTicket() const;
+  inline  ::capnp::Text::Reader getTicket() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3675,9 +3836,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WorkflowMessage::Eligibility::Builder {
+class OrderRequest::Start::Builder {
 public:
-  typedef Eligibility Builds;
+  typedef Start Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3691,18 +3852,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasRun();
+  inline  ::mangoplank::wire::schema::RunId::Builder getRun();
+  inline void setRun( ::mangoplank::wire::schema::RunId::Reader value);
+  inline  ::mangoplank::wire::schema::RunId::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> disownRun();
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
-  inline bool hasEligible();
-  inline  ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Builder getEligible();
-  inline void setEligible( ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Builder initEligible(unsigned int size);
-  inline void adoptEligible(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>> disownEligible();
+  inline  ::int64_t getLeaseUntilMs();
+  inline void setLeaseUntilMs( ::int64_t value);
+
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
+
+  inline bool hasTicket();
+  inline  ::capnp::Text::Builder getTicket();
+  inline void setTicket( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTicket(unsigned int size);
+  inline void adoptTicket(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTicket();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3714,14 +3893,15 @@
 };
 
 #if !CAPNP_LITE
-class WorkflowMessage::Eligibility::Pipeline {
+class OrderRequest::Start::Pipeline {
 public:
-  typedef Eligibility Pipelines;
+  typedef Start Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mangoplank::wire::schema::RunId::Pipeline getRun();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3730,9 +3910,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WorkflowMessage::Greeting::Reader {
+class OrderRequest::Poll::Reader {
 public:
-  typedef Greeting Reads;
+  typedef Poll Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3747,16 +3927,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSelf() const;
-  inline  ::capnp::Text::Reader getSelf() const;
+  inline  ::uint64_t getRecordedEnds() const;
 
-  inline bool hasLeader() const;
-  inline  ::capnp::Text::Reader getLeader() const;
+  inline bool getRenewsLease() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+  inline  ::int64_t getRenewedUntilMs() const;
 
-  inline  ::uint64_t getMembersRevision() const;
+  inline  ::int64_t getWaitMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3770,9 +3947,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WorkflowMessage::Greeting::Builder {
+class OrderRequest::Poll::Builder {
 public:
-  typedef Greeting Builds;
+  typedef Poll Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3786,30 +3963,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSelf();
-  inline  ::capnp::Text::Builder getSelf();
-  inline void setSelf( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSelf(unsigned int size);
-  inline void adoptSelf(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSelf();
+  inline  ::uint64_t getRecordedEnds();
+  inline void setRecordedEnds( ::uint64_t value);
 
-  inline bool hasLeader();
-  inline  ::capnp::Text::Builder getLeader();
-  inline void setLeader( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLeader(unsigned int size);
-  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+  inline bool getRenewsLease();
+  inline void setRenewsLease(bool value);
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+  inline  ::int64_t getRenewedUntilMs();
+  inline void setRenewedUntilMs( ::int64_t value);
 
-  inline  ::uint64_t getMembersRevision();
-  inline void setMembersRevision( ::uint64_t value);
+  inline  ::int64_t getWaitMs();
+  inline void setWaitMs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3821,9 +3985,9 @@
 };
 
 #if !CAPNP_LITE
-class WorkflowMessage::Greeting::Pipeline {
+class OrderRequest::Poll::Pipeline {
 public:
-  typedef Greeting Pipelines;
+  typedef Poll Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3837,9 +4001,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WorkflowMessage::MembersChanged::Reader {
+class OrderReply::Reader {
 public:
-  typedef MembersChanged Reads;
+  typedef OrderReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3854,10 +4018,26 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
+  inline Which which() const;
+  inline  ::uint64_t getId() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+  inline bool isDone() const;
+  inline  ::int64_t getDone() const;
+
+  inline bool isRefused() const;
+  inline  ::uint8_t getRefused() const;
+
+  inline bool isOtherIncarnation() const;
+  inline  ::capnp::Void getOtherIncarnation() const;
+
+  inline bool isNoAnswer() const;
+  inline  ::capnp::Void getNoAnswer() const;
+
+  inline bool isNotSent() const;
+  inline  ::capnp::Void getNotSent() const;
+
+  inline bool isReport() const;
+  inline typename Report::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3871,9 +4051,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WorkflowMessage::MembersChanged::Builder {
+class OrderReply::Builder {
 public:
-  typedef MembersChanged Builds;
+  typedef OrderReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3887,16 +4067,33 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline Which which();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+  inline bool isDone();
+  inline  ::int64_t getDone();
+  inline void setDone( ::int64_t value);
+
+  inline bool isRefused();
+  inline  ::uint8_t getRefused();
+  inline void setRefused( ::uint8_t value);
+
+  inline bool isOtherIncarnation();
+  inline  ::capnp::Void getOtherIncarnation();
+  inline void setOtherIncarnation( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isNoAnswer();
+  inline  ::capnp::Void getNoAnswer();
+  inline void setNoAnswer( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isNotSent();
+  inline  ::capnp::Void getNotSent();
+  inline void setNotSent( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isReport();
+  inline typename Report::Builder getReport();
+  inline typename Report::Builder initReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3908,9 +4105,9 @@
 };
 
 #if !CAPNP_LITE
-class WorkflowMessage::MembersChanged::Pipeline {
+class OrderReply::Pipeline {
 public:
-  typedef MembersChanged Pipelines;
+  typedef OrderReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3924,3374 +4121,5036 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class OrderReply::Report::Reader {
+public:
+  typedef Report Reads;
 
-inline  ::uint32_t WorkflowStep::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t WorkflowStep::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void WorkflowStep::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool WorkflowStep::Reader::hasNeed() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool WorkflowStep::Builder::hasNeed() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::mangoplank::wire::schema::Resources::Reader WorkflowStep::Reader::getNeed() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::mangoplank::wire::schema::Resources::Builder WorkflowStep::Builder::getNeed() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::Resources::Pipeline WorkflowStep::Pipeline::getNeed() {
-  return  ::mangoplank::wire::schema::Resources::Pipeline(_typeless.getPointerField(0));
-}
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
 #endif  // !CAPNP_LITE
-inline void WorkflowStep::Builder::setNeed( ::mangoplank::wire::schema::Resources::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::mangoplank::wire::schema::Resources::Builder WorkflowStep::Builder::initNeed() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void WorkflowStep::Builder::adoptNeed(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Resources>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Resources> WorkflowStep::Builder::disownNeed() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 
-inline  ::int64_t WorkflowStep::Reader::getEstimateMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline  ::int64_t getClockMs() const;
 
-inline  ::int64_t WorkflowStep::Builder::getEstimateMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void WorkflowStep::Builder::setEstimateMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasRunning() const;
+  inline  ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Reader getRunning() const;
 
-inline bool WorkflowStep::Reader::hasDependsOn() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool WorkflowStep::Builder::hasDependsOn() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader WorkflowStep::Reader::getDependsOn() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowStep::Builder::getDependsOn() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void WorkflowStep::Builder::setDependsOn( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void WorkflowStep::Builder::setDependsOn(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowStep::Builder::initDependsOn(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void WorkflowStep::Builder::adoptDependsOn(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> WorkflowStep::Builder::disownDependsOn() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool hasEnded() const;
+  inline  ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Reader getEnded() const;
 
-inline bool WorkflowStep::Reader::getGang() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
+  inline bool getNamesIncarnation() const;
 
-inline bool WorkflowStep::Builder::getGang() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OrderReply::Report::Builder {
+public:
+  typedef Report Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getClockMs();
+  inline void setClockMs( ::int64_t value);
+
+  inline bool hasRunning();
+  inline  ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Builder getRunning();
+  inline void setRunning( ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Builder initRunning(unsigned int size);
+  inline void adoptRunning(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>> disownRunning();
+
+  inline bool hasEnded();
+  inline  ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Builder getEnded();
+  inline void setEnded( ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Builder initEnded(unsigned int size);
+  inline void adoptEnded(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>> disownEnded();
+
+  inline bool getNamesIncarnation();
+  inline void setNamesIncarnation(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OrderReply::Report::Pipeline {
+public:
+  typedef Report Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkflowMessage::Reader {
+public:
+  typedef WorkflowMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isHello() const;
+  inline typename Hello::Reader getHello() const;
+
+  inline bool isRequest() const;
+  inline bool hasRequest() const;
+  inline  ::mangoplank::wire::schema::WorkflowRequest::Reader getRequest() const;
+
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::mangoplank::wire::schema::WorkflowAnswer::Reader getAnswer() const;
+
+  inline bool isAskEligibility() const;
+  inline typename AskEligibility::Reader getAskEligibility() const;
+
+  inline bool isEligibility() const;
+  inline typename Eligibility::Reader getEligibility() const;
+
+  inline bool isGreeting() const;
+  inline typename Greeting::Reader getGreeting() const;
+
+  inline bool isMembersChanged() const;
+  inline typename MembersChanged::Reader getMembersChanged() const;
+
+  inline bool isOrderRequest() const;
+  inline bool hasOrderRequest() const;
+  inline  ::mangoplank::wire::schema::OrderRequest::Reader getOrderRequest() const;
+
+  inline bool isOrderReply() const;
+  inline bool hasOrderReply() const;
+  inline  ::mangoplank::wire::schema::OrderReply::Reader getOrderReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowMessage::Builder {
+public:
+  typedef WorkflowMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isHello();
+  inline typename Hello::Builder getHello();
+  inline typename Hello::Builder initHello();
+
+  inline bool isRequest();
+  inline bool hasRequest();
+  inline  ::mangoplank::wire::schema::WorkflowRequest::Builder getRequest();
+  inline void setRequest( ::mangoplank::wire::schema::WorkflowRequest::Reader value);
+  inline  ::mangoplank::wire::schema::WorkflowRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::mangoplank::wire::schema::WorkflowRequest>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowRequest> disownRequest();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::mangoplank::wire::schema::WorkflowAnswer::Builder getAnswer();
+  inline void setAnswer( ::mangoplank::wire::schema::WorkflowAnswer::Reader value);
+  inline  ::mangoplank::wire::schema::WorkflowAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::mangoplank::wire::schema::WorkflowAnswer>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowAnswer> disownAnswer();
+
+  inline bool isAskEligibility();
+  inline typename AskEligibility::Builder getAskEligibility();
+  inline typename AskEligibility::Builder initAskEligibility();
+
+  inline bool isEligibility();
+  inline typename Eligibility::Builder getEligibility();
+  inline typename Eligibility::Builder initEligibility();
+
+  inline bool isGreeting();
+  inline typename Greeting::Builder getGreeting();
+  inline typename Greeting::Builder initGreeting();
+
+  inline bool isMembersChanged();
+  inline typename MembersChanged::Builder getMembersChanged();
+  inline typename MembersChanged::Builder initMembersChanged();
+
+  inline bool isOrderRequest();
+  inline bool hasOrderRequest();
+  inline  ::mangoplank::wire::schema::OrderRequest::Builder getOrderRequest();
+  inline void setOrderRequest( ::mangoplank::wire::schema::OrderRequest::Reader value);
+  inline  ::mangoplank::wire::schema::OrderRequest::Builder initOrderRequest();
+  inline void adoptOrderRequest(::capnp::Orphan< ::mangoplank::wire::schema::OrderRequest>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::OrderRequest> disownOrderRequest();
+
+  inline bool isOrderReply();
+  inline bool hasOrderReply();
+  inline  ::mangoplank::wire::schema::OrderReply::Builder getOrderReply();
+  inline void setOrderReply( ::mangoplank::wire::schema::OrderReply::Reader value);
+  inline  ::mangoplank::wire::schema::OrderReply::Builder initOrderReply();
+  inline void adoptOrderReply(::capnp::Orphan< ::mangoplank::wire::schema::OrderReply>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::OrderReply> disownOrderReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkflowMessage::Pipeline {
+public:
+  typedef WorkflowMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkflowMessage::Hello::Reader {
+public:
+  typedef Hello Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool getAsksEligibility() const;
+
+  inline bool getRelaysOrders() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowMessage::Hello::Builder {
+public:
+  typedef Hello Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool getAsksEligibility();
+  inline void setAsksEligibility(bool value);
+
+  inline bool getRelaysOrders();
+  inline void setRelaysOrders(bool value);
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkflowMessage::Hello::Pipeline {
+public:
+  typedef Hello Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkflowMessage::AskEligibility::Reader {
+public:
+  typedef AskEligibility Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool hasStep() const;
+  inline  ::mangoplank::wire::schema::WorkflowTaskId::Reader getStep() const;
+
+  inline bool hasWorkers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWorkers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowMessage::AskEligibility::Builder {
+public:
+  typedef AskEligibility Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool hasStep();
+  inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder getStep();
+  inline void setStep( ::mangoplank::wire::schema::WorkflowTaskId::Reader value);
+  inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder initStep();
+  inline void adoptStep(::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId> disownStep();
+
+  inline bool hasWorkers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWorkers();
+  inline void setWorkers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setWorkers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWorkers(unsigned int size);
+  inline void adoptWorkers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWorkers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkflowMessage::AskEligibility::Pipeline {
+public:
+  typedef AskEligibility Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangoplank::wire::schema::WorkflowTaskId::Pipeline getStep();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkflowMessage::Eligibility::Reader {
+public:
+  typedef Eligibility Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool getKnown() const;
+
+  inline bool hasEligible() const;
+  inline  ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Reader getEligible() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowMessage::Eligibility::Builder {
+public:
+  typedef Eligibility Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline bool hasEligible();
+  inline  ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Builder getEligible();
+  inline void setEligible( ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>::Builder initEligible(unsigned int size);
+  inline void adoptEligible(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EligibleWorker,  ::capnp::Kind::STRUCT>> disownEligible();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkflowMessage::Eligibility::Pipeline {
+public:
+  typedef Eligibility Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkflowMessage::Greeting::Reader {
+public:
+  typedef Greeting Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelf() const;
+  inline  ::capnp::Text::Reader getSelf() const;
+
+  inline bool hasLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
+  inline  ::uint64_t getMembersRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowMessage::Greeting::Builder {
+public:
+  typedef Greeting Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelf();
+  inline  ::capnp::Text::Builder getSelf();
+  inline void setSelf( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSelf(unsigned int size);
+  inline void adoptSelf(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSelf();
+
+  inline bool hasLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
+  inline  ::uint64_t getMembersRevision();
+  inline void setMembersRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkflowMessage::Greeting::Pipeline {
+public:
+  typedef Greeting Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkflowMessage::MembersChanged::Reader {
+public:
+  typedef MembersChanged Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowMessage::MembersChanged::Builder {
+public:
+  typedef MembersChanged Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkflowMessage::MembersChanged::Pipeline {
+public:
+  typedef MembersChanged Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t WorkflowStep::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkflowStep::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowStep::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowStep::Reader::hasNeed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowStep::Builder::hasNeed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::Resources::Reader WorkflowStep::Reader::getNeed() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::Resources::Builder WorkflowStep::Builder::getNeed() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::Resources::Pipeline WorkflowStep::Pipeline::getNeed() {
+  return  ::mangoplank::wire::schema::Resources::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void WorkflowStep::Builder::setNeed( ::mangoplank::wire::schema::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::Resources::Builder WorkflowStep::Builder::initNeed() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowStep::Builder::adoptNeed(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Resources> WorkflowStep::Builder::disownNeed() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t WorkflowStep::Reader::getEstimateMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t WorkflowStep::Builder::getEstimateMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowStep::Builder::setEstimateMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowStep::Reader::hasDependsOn() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowStep::Builder::hasDependsOn() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader WorkflowStep::Reader::getDependsOn() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowStep::Builder::getDependsOn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WorkflowStep::Builder::setDependsOn( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void WorkflowStep::Builder::setDependsOn(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowStep::Builder::initDependsOn(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowStep::Builder::adoptDependsOn(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> WorkflowStep::Builder::disownDependsOn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool WorkflowStep::Reader::getGang() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowStep::Builder::getGang() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
 inline void WorkflowStep::Builder::setGang(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowStep::Reader::getSameRack() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowStep::Builder::getSameRack() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowStep::Builder::setSameRack(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowStep::Reader::hasRequiredLabel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowStep::Builder::hasRequiredLabel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkflowStep::Reader::getRequiredLabel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkflowStep::Builder::getRequiredLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WorkflowStep::Builder::setRequiredLabel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkflowStep::Builder::initRequiredLabel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowStep::Builder::adoptRequiredLabel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkflowStep::Builder::disownRequiredLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool WorkflowStep::Reader::hasPreferredRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowStep::Builder::hasPreferredRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkflowStep::Reader::getPreferredRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkflowStep::Builder::getPreferredRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void WorkflowStep::Builder::setPreferredRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkflowStep::Builder::initPreferredRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowStep::Builder::adoptPreferredRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkflowStep::Builder::disownPreferredRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WorkflowStep::Reader::getMaxPerWorker() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkflowStep::Builder::getMaxPerWorker() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowStep::Builder::setMaxPerWorker( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowStep::Reader::getCheckpointing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowStep::Builder::getCheckpointing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowStep::Builder::setCheckpointing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowStep::Reader::getLongRunning() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowStep::Builder::getLongRunning() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowStep::Builder::setLongRunning(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowStep::Reader::getFiller() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<36>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowStep::Builder::getFiller() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<36>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowStep::Builder::setFiller(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<36>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobSpec::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobSpec::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobSpec::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobSpec::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobSpec::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobSpec::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JobSpec::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobSpec::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JobSpec::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobSpec::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader JobSpec::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder JobSpec::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobSpec::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder JobSpec::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobSpec::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> JobSpec::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool JobSpec::Reader::hasSteps() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobSpec::Builder::hasSteps() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Reader JobSpec::Reader::getSteps() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Builder JobSpec::Builder::getSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void JobSpec::Builder::setSteps( ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Builder JobSpec::Builder::initSteps(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void JobSpec::Builder::adoptSteps(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>> JobSpec::Builder::disownSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t JobSpec::Reader::getRepeatCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t JobSpec::Builder::getRepeatCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobSpec::Builder::setRepeatCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t JobSpec::Reader::getFirstAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t JobSpec::Builder::getFirstAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobSpec::Builder::setFirstAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t JobSpec::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t JobSpec::Builder::getIntervalMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JobSpec::Builder::setIntervalMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueueSpec::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueueSpec::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QueueSpec::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QueueSpec::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QueueSpec::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QueueSpec::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueueSpec::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QueueSpec::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QueueSpec::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QueueSpec::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool QueueSpec::Reader::hasPathPrefix() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueueSpec::Builder::hasPathPrefix() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QueueSpec::Reader::getPathPrefix() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::getPathPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void QueueSpec::Builder::setPathPrefix( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::initPathPrefix(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QueueSpec::Builder::adoptPathPrefix(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownPathPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t QueueSpec::Reader::getTimeoutMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QueueSpec::Builder::getTimeoutMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setTimeoutMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QueueSpec::Reader::getTargetLatencyMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QueueSpec::Builder::getTargetLatencyMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setTargetLatencyMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t QueueSpec::Reader::getPriority() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t QueueSpec::Builder::getPriority() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setPriority( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueueSpec::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueueSpec::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QueueSpec::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void QueueSpec::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueueSpec::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void QueueSpec::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t QueueSpec::Reader::getMaxAttempts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QueueSpec::Builder::getMaxAttempts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setMaxAttempts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline double QueueSpec::Reader::getStretchFactor() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double QueueSpec::Builder::getStretchFactor() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setStretchFactor(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueueSpec::Reader::getHasEligibility() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool QueueSpec::Builder::getHasEligibility() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setHasEligibility(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowStep::Reader::getSameRack() const {
+inline double QueueSpec::Reader::getDecisionMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double QueueSpec::Builder::getDecisionMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setDecisionMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline double QueueSpec::Reader::getPerWorkerMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline double QueueSpec::Builder::getPerWorkerMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setPerWorkerMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QueueSpec::Reader::getTicketLifeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QueueSpec::Builder::getTicketLifeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setTicketLifeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PoolSpec::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PoolSpec::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PoolSpec::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PoolSpec::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PoolSpec::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PoolSpec::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PoolSpec::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PoolSpec::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PoolSpec::Reader::getEnforcesCapacity() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool WorkflowStep::Builder::getSameRack() {
+inline bool PoolSpec::Builder::getEnforcesCapacity() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowStep::Builder::setSameRack(bool value) {
+inline void PoolSpec::Builder::setEnforcesCapacity(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowStep::Reader::hasRequiredLabel() const {
+inline bool PoolSpec::Reader::getStandby() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool PoolSpec::Builder::getStandby() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PoolSpec::Builder::setStandby(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Catalog::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Catalog::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Catalog::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Catalog::Reader::hasQueues() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalog::Builder::hasQueues() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getQueues() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getQueues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Catalog::Builder::setQueues( ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initQueues(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Catalog::Builder::adoptQueues(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownQueues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Catalog::Reader::hasPools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalog::Builder::hasPools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Catalog::Builder::setPools( ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Catalog::Builder::adoptPools(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Catalog::Reader::hasDocument() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowStep::Builder::hasRequiredLabel() {
+inline bool Catalog::Builder::hasDocument() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkflowStep::Reader::getRequiredLabel() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader Catalog::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowStep::Builder::getRequiredLabel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder Catalog::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void WorkflowStep::Builder::setRequiredLabel( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WorkflowStep::Builder::initRequiredLabel(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder Catalog::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowStep::Builder::adoptRequiredLabel(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Catalog::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowStep::Builder::disownRequiredLabel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Catalog::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowStep::Reader::hasPreferredRack() const {
+inline bool WorkerKey::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowStep::Builder::hasPreferredRack() {
+inline bool WorkerKey::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkflowStep::Reader::getPreferredRack() const {
+inline  ::capnp::Text::Reader WorkerKey::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowStep::Builder::getPreferredRack() {
+inline  ::capnp::Text::Builder WorkerKey::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowStep::Builder::setPreferredRack( ::capnp::Text::Reader value) {
+inline void WorkerKey::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WorkflowStep::Builder::initPreferredRack(unsigned int size) {
+inline  ::capnp::Text::Builder WorkerKey::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowStep::Builder::adoptPreferredRack(
+inline void WorkerKey::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowStep::Builder::disownPreferredRack() {
+inline ::capnp::Orphan< ::capnp::Text> WorkerKey::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t WorkflowStep::Reader::getMaxPerWorker() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t WorkerKey::Reader::getBorn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t WorkflowStep::Builder::getMaxPerWorker() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t WorkerKey::Builder::getBorn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowStep::Builder::setMaxPerWorker( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void WorkerKey::Builder::setBorn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowStep::Reader::getCheckpointing() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+inline bool WorkerSpec::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool WorkflowStep::Builder::getCheckpointing() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+inline bool WorkerSpec::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void WorkflowStep::Builder::setCheckpointing(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkerSpec::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool WorkflowStep::Reader::getLongRunning() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkerSpec::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool WorkflowStep::Builder::getLongRunning() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::WorkerKey::Pipeline WorkerSpec::Pipeline::getKey() {
+  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(0));
 }
-inline void WorkflowStep::Builder::setLongRunning(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<35>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void WorkerSpec::Builder::setKey( ::mangoplank::wire::schema::WorkerKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkerSpec::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkerSpec::Builder::adoptKey(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkerSpec::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowStep::Reader::getFiller() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<36>() * ::capnp::ELEMENTS);
+inline bool WorkerSpec::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkerSpec::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::Endpoint::Reader WorkerSpec::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::Endpoint::Builder WorkerSpec::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::Endpoint::Pipeline WorkerSpec::Pipeline::getAddress() {
+  return  ::mangoplank::wire::schema::Endpoint::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void WorkerSpec::Builder::setAddress( ::mangoplank::wire::schema::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::Endpoint::Builder WorkerSpec::Builder::initAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WorkerSpec::Builder::adoptAddress(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint> WorkerSpec::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowStep::Builder::getFiller() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<36>() * ::capnp::ELEMENTS);
+inline bool WorkerSpec::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void WorkflowStep::Builder::setFiller(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<36>() * ::capnp::ELEMENTS, value);
+inline bool WorkerSpec::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkerSpec::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkerSpec::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WorkerSpec::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkerSpec::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void WorkerSpec::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkerSpec::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool JobSpec::Reader::hasId() const {
+inline bool WorkerSpec::Reader::hasZone() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobSpec::Builder::hasId() {
+inline bool WorkerSpec::Builder::hasZone() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobSpec::Reader::getId() const {
+inline  ::capnp::Text::Reader WorkerSpec::Reader::getZone() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobSpec::Builder::getId() {
+inline  ::capnp::Text::Builder WorkerSpec::Builder::getZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void JobSpec::Builder::setId( ::capnp::Text::Reader value) {
+inline void WorkerSpec::Builder::setZone( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobSpec::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder WorkerSpec::Builder::initZone(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void JobSpec::Builder::adoptId(
+inline void WorkerSpec::Builder::adoptZone(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobSpec::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> WorkerSpec::Builder::disownZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool JobSpec::Reader::hasPayload() const {
+inline bool WorkerSpec::Reader::hasCapacity() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobSpec::Builder::hasPayload() {
+inline bool WorkerSpec::Builder::hasCapacity() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader JobSpec::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::Resources::Reader WorkerSpec::Reader::getCapacity() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder JobSpec::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::Resources::Builder WorkerSpec::Builder::getCapacity() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::Resources::Pipeline WorkerSpec::Pipeline::getCapacity() {
+  return  ::mangoplank::wire::schema::Resources::Pipeline(_typeless.getPointerField(4));
 }
-inline void JobSpec::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void WorkerSpec::Builder::setCapacity( ::mangoplank::wire::schema::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder JobSpec::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::mangoplank::wire::schema::Resources::Builder WorkerSpec::Builder::initCapacity() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void JobSpec::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkerSpec::Builder::adoptCapacity(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> JobSpec::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Resources> WorkerSpec::Builder::disownCapacity() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool JobSpec::Reader::hasSteps() const {
+inline bool WorkerSpec::Reader::hasLabels() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobSpec::Builder::hasSteps() {
+inline bool WorkerSpec::Builder::hasLabels() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Reader JobSpec::Reader::getSteps() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader WorkerSpec::Reader::getLabels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Builder JobSpec::Builder::getSteps() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkerSpec::Builder::getLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void JobSpec::Builder::setSteps( ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void WorkerSpec::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>::Builder JobSpec::Builder::initSteps(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void WorkerSpec::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void JobSpec::Builder::adoptSteps(
-    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkerSpec::Builder::initLabels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>> JobSpec::Builder::disownSteps() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowStep,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void WorkerSpec::Builder::adoptLabels(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> WorkerSpec::Builder::disownLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobSpec::Reader::getRepeatCount() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool WorkerSpec::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t JobSpec::Builder::getRepeatCount() {
-  return _builder.getDataField< ::uint32_t>(
+inline bool WorkerSpec::Builder::getDraining() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobSpec::Builder::setRepeatCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void WorkerSpec::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t JobSpec::Reader::getFirstAt() const {
+inline  ::int64_t WorkerSpec::Reader::getReportSequence() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t JobSpec::Builder::getFirstAt() {
+inline  ::int64_t WorkerSpec::Builder::getReportSequence() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void JobSpec::Builder::setFirstAt( ::int64_t value) {
+inline void WorkerSpec::Builder::setReportSequence( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t JobSpec::Reader::getIntervalMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t JobSpec::Builder::getIntervalMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void JobSpec::Builder::setIntervalMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool QueueSpec::Reader::hasName() const {
+inline bool WorkflowTaskId::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QueueSpec::Builder::hasName() {
+inline bool WorkflowTaskId::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader QueueSpec::Reader::getName() const {
+inline  ::capnp::Text::Reader WorkflowTaskId::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder QueueSpec::Builder::getName() {
+inline  ::capnp::Text::Builder WorkflowTaskId::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QueueSpec::Builder::setName( ::capnp::Text::Reader value) {
+inline void WorkflowTaskId::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder QueueSpec::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder WorkflowTaskId::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void QueueSpec::Builder::adoptName(
+inline void WorkflowTaskId::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> WorkflowTaskId::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool QueueSpec::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool QueueSpec::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader QueueSpec::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder QueueSpec::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void QueueSpec::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder QueueSpec::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void QueueSpec::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool QueueSpec::Reader::hasPathPrefix() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool QueueSpec::Builder::hasPathPrefix() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader QueueSpec::Reader::getPathPrefix() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder QueueSpec::Builder::getPathPrefix() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void QueueSpec::Builder::setPathPrefix( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder QueueSpec::Builder::initPathPrefix(unsigned int size) {
