-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void QueueSpec::Builder::adoptPathPrefix(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownPathPrefix() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t QueueSpec::Reader::getTimeoutMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t WorkflowTaskId::Reader::getOccurrence() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t QueueSpec::Builder::getTimeoutMs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t WorkflowTaskId::Builder::getOccurrence() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QueueSpec::Builder::setTimeoutMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void WorkflowTaskId::Builder::setOccurrence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t QueueSpec::Reader::getTargetLatencyMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t WorkflowTaskId::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t QueueSpec::Builder::getTargetLatencyMs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t WorkflowTaskId::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void QueueSpec::Builder::setTargetLatencyMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void WorkflowTaskId::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t QueueSpec::Reader::getPriority() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t WorkflowTaskId::Reader::getIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t QueueSpec::Builder::getPriority() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t WorkflowTaskId::Builder::getIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void QueueSpec::Builder::setPriority( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void WorkflowTaskId::Builder::setIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QueueSpec::Reader::hasPool() const {
+inline bool RunId::Reader::hasTask() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QueueSpec::Builder::hasPool() {
+inline bool RunId::Builder::hasTask() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader QueueSpec::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::WorkflowTaskId::Reader RunId::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder RunId::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder QueueSpec::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::WorkflowTaskId::Pipeline RunId::Pipeline::getTask() {
+  return  ::mangoplank::wire::schema::WorkflowTaskId::Pipeline(_typeless.getPointerField(0));
 }
-inline void QueueSpec::Builder::setPool( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void RunId::Builder::setTask( ::mangoplank::wire::schema::WorkflowTaskId::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder QueueSpec::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder RunId::Builder::initTask() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QueueSpec::Builder::adoptPool(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void RunId::Builder::adoptTask(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> QueueSpec::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId> RunId::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t QueueSpec::Reader::getMaxAttempts() const {
+inline  ::uint32_t RunId::Reader::getNumber() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QueueSpec::Builder::getMaxAttempts() {
+inline  ::uint32_t RunId::Builder::getNumber() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QueueSpec::Builder::setMaxAttempts( ::uint32_t value) {
+inline void RunId::Builder::setNumber( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double QueueSpec::Reader::getStretchFactor() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::mangoplank::wire::schema::WorkflowEvent::Which WorkflowEvent::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::mangoplank::wire::schema::WorkflowEvent::Which WorkflowEvent::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double QueueSpec::Builder::getStretchFactor() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::Reader::isCatalogDeclared() const {
+  return which() == WorkflowEvent::CATALOG_DECLARED;
 }
-inline void QueueSpec::Builder::setStretchFactor(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool WorkflowEvent::Builder::isCatalogDeclared() {
+  return which() == WorkflowEvent::CATALOG_DECLARED;
 }
-
-inline bool QueueSpec::Reader::getHasEligibility() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::Reader::hasCatalogDeclared() const {
+  if (which() != WorkflowEvent::CATALOG_DECLARED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool QueueSpec::Builder::getHasEligibility() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::Builder::hasCatalogDeclared() {
+  if (which() != WorkflowEvent::CATALOG_DECLARED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void QueueSpec::Builder::setHasEligibility(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+inline  ::mangoplank::wire::schema::Catalog::Reader WorkflowEvent::Reader::getCatalogDeclared() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::CATALOG_DECLARED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline double QueueSpec::Reader::getDecisionMs() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowEvent::Builder::getCatalogDeclared() {
+  KJ_IREQUIRE((which() == WorkflowEvent::CATALOG_DECLARED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline double QueueSpec::Builder::getDecisionMs() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void WorkflowEvent::Builder::setCatalogDeclared( ::mangoplank::wire::schema::Catalog::Reader value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::CATALOG_DECLARED);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void QueueSpec::Builder::setDecisionMs(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowEvent::Builder::initCatalogDeclared() {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::CATALOG_DECLARED);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline double QueueSpec::Reader::getPerWorkerMs() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline void WorkflowEvent::Builder::adoptCatalogDeclared(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Catalog>&& value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::CATALOG_DECLARED);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Catalog> WorkflowEvent::Builder::disownCatalogDeclared() {
+  KJ_IREQUIRE((which() == WorkflowEvent::CATALOG_DECLARED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double QueueSpec::Builder::getPerWorkerMs() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::Reader::isJobAccepted() const {
+  return which() == WorkflowEvent::JOB_ACCEPTED;
 }
-inline void QueueSpec::Builder::setPerWorkerMs(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline bool WorkflowEvent::Builder::isJobAccepted() {
+  return which() == WorkflowEvent::JOB_ACCEPTED;
 }
-
-inline  ::int64_t QueueSpec::Reader::getTicketLifeMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline typename WorkflowEvent::JobAccepted::Reader WorkflowEvent::Reader::getJobAccepted() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_ACCEPTED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowEvent::JobAccepted::Reader(_reader);
 }
-
-inline  ::int64_t QueueSpec::Builder::getTicketLifeMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline typename WorkflowEvent::JobAccepted::Builder WorkflowEvent::Builder::getJobAccepted() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_ACCEPTED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowEvent::JobAccepted::Builder(_builder);
 }
-inline void QueueSpec::Builder::setTicketLifeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline typename WorkflowEvent::JobAccepted::Builder WorkflowEvent::Builder::initJobAccepted() {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_ACCEPTED);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename WorkflowEvent::JobAccepted::Builder(_builder);
 }
-
-inline bool PoolSpec::Reader::hasName() const {
+inline bool WorkflowEvent::Reader::isJobCancelled() const {
+  return which() == WorkflowEvent::JOB_CANCELLED;
+}
+inline bool WorkflowEvent::Builder::isJobCancelled() {
+  return which() == WorkflowEvent::JOB_CANCELLED;
+}
+inline bool WorkflowEvent::Reader::hasJobCancelled() const {
+  if (which() != WorkflowEvent::JOB_CANCELLED) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PoolSpec::Builder::hasName() {
+inline bool WorkflowEvent::Builder::hasJobCancelled() {
+  if (which() != WorkflowEvent::JOB_CANCELLED) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PoolSpec::Reader::getName() const {
+inline  ::capnp::Text::Reader WorkflowEvent::Reader::getJobCancelled() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_CANCELLED),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PoolSpec::Builder::getName() {
+inline  ::capnp::Text::Builder WorkflowEvent::Builder::getJobCancelled() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_CANCELLED),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PoolSpec::Builder::setName( ::capnp::Text::Reader value) {
+inline void WorkflowEvent::Builder::setJobCancelled( ::capnp::Text::Reader value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_CANCELLED);
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PoolSpec::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder WorkflowEvent::Builder::initJobCancelled(unsigned int size) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_CANCELLED);
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PoolSpec::Builder::adoptName(
+inline void WorkflowEvent::Builder::adoptJobCancelled(
     ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_CANCELLED);
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PoolSpec::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> WorkflowEvent::Builder::disownJobCancelled() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_CANCELLED),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PoolSpec::Reader::getEnforcesCapacity() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::Reader::isRunAssigned() const {
+  return which() == WorkflowEvent::RUN_ASSIGNED;
 }
-
-inline bool PoolSpec::Builder::getEnforcesCapacity() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::Builder::isRunAssigned() {
+  return which() == WorkflowEvent::RUN_ASSIGNED;
 }
-inline void PoolSpec::Builder::setEnforcesCapacity(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline typename WorkflowEvent::RunAssigned::Reader WorkflowEvent::Reader::getRunAssigned() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ASSIGNED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowEvent::RunAssigned::Reader(_reader);
 }
-
-inline bool PoolSpec::Reader::getStandby() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline typename WorkflowEvent::RunAssigned::Builder WorkflowEvent::Builder::getRunAssigned() {
+  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ASSIGNED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowEvent::RunAssigned::Builder(_builder);
 }
-
-inline bool PoolSpec::Builder::getStandby() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline typename WorkflowEvent::RunAssigned::Builder WorkflowEvent::Builder::initRunAssigned() {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::RUN_ASSIGNED);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename WorkflowEvent::RunAssigned::Builder(_builder);
 }
-inline void PoolSpec::Builder::setStandby(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool WorkflowEvent::Reader::isRunEnded() const {
+  return which() == WorkflowEvent::RUN_ENDED;
+}
+inline bool WorkflowEvent::Builder::isRunEnded() {
+  return which() == WorkflowEvent::RUN_ENDED;
+}
+inline typename WorkflowEvent::RunEnded::Reader WorkflowEvent::Reader::getRunEnded() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ENDED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowEvent::RunEnded::Reader(_reader);
+}
+inline typename WorkflowEvent::RunEnded::Builder WorkflowEvent::Builder::getRunEnded() {
+  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ENDED),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowEvent::RunEnded::Builder(_builder);
 }
-
-inline  ::uint64_t Catalog::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline typename WorkflowEvent::RunEnded::Builder WorkflowEvent::Builder::initRunEnded() {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::RUN_ENDED);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename WorkflowEvent::RunEnded::Builder(_builder);
 }
-
-inline  ::uint64_t Catalog::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::Reader::isWorkerAnnounced() const {
+  return which() == WorkflowEvent::WORKER_ANNOUNCED;
 }
-inline void Catalog::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool WorkflowEvent::Builder::isWorkerAnnounced() {
+  return which() == WorkflowEvent::WORKER_ANNOUNCED;
 }
-
-inline bool Catalog::Reader::hasQueues() const {
+inline bool WorkflowEvent::Reader::hasWorkerAnnounced() const {
+  if (which() != WorkflowEvent::WORKER_ANNOUNCED) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasQueues() {
+inline bool WorkflowEvent::Builder::hasWorkerAnnounced() {
+  if (which() != WorkflowEvent::WORKER_ANNOUNCED) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getQueues() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerSpec::Reader WorkflowEvent::Reader::getWorkerAnnounced() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_ANNOUNCED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getQueues() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowEvent::Builder::getWorkerAnnounced() {
+  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_ANNOUNCED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setQueues( ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void WorkflowEvent::Builder::setWorkerAnnounced( ::mangoplank::wire::schema::WorkerSpec::Reader value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_ANNOUNCED);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initQueues(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowEvent::Builder::initWorkerAnnounced() {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_ANNOUNCED);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::adoptQueues(
-    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void WorkflowEvent::Builder::adoptWorkerAnnounced(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec>&& value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_ANNOUNCED);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownQueues() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::QueueSpec,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec> WorkflowEvent::Builder::disownWorkerAnnounced() {
+  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_ANNOUNCED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Catalog::Reader::hasPools() const {
+inline bool WorkflowEvent::Reader::isWorkerRemoved() const {
+  return which() == WorkflowEvent::WORKER_REMOVED;
+}
+inline bool WorkflowEvent::Builder::isWorkerRemoved() {
+  return which() == WorkflowEvent::WORKER_REMOVED;
+}
+inline bool WorkflowEvent::Reader::hasWorkerRemoved() const {
+  if (which() != WorkflowEvent::WORKER_REMOVED) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasPools() {
+inline bool WorkflowEvent::Builder::hasWorkerRemoved() {
+  if (which() != WorkflowEvent::WORKER_REMOVED) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getPools() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowEvent::Reader::getWorkerRemoved() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_REMOVED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getPools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::Builder::getWorkerRemoved() {
+  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_REMOVED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setPools( ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void WorkflowEvent::Builder::setWorkerRemoved( ::mangoplank::wire::schema::WorkerKey::Reader value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_REMOVED);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initPools(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::Builder::initWorkerRemoved() {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_REMOVED);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::adoptPools(
-    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkflowEvent::Builder::adoptWorkerRemoved(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_REMOVED);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownPools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::PoolSpec,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowEvent::Builder::disownWorkerRemoved() {
+  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_REMOVED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Catalog::Reader::hasDocument() const {
+inline bool WorkflowEvent::Reader::isJobsForgotten() const {
+  return which() == WorkflowEvent::JOBS_FORGOTTEN;
+}
+inline bool WorkflowEvent::Builder::isJobsForgotten() {
+  return which() == WorkflowEvent::JOBS_FORGOTTEN;
+}
+inline bool WorkflowEvent::Reader::hasJobsForgotten() const {
+  if (which() != WorkflowEvent::JOBS_FORGOTTEN) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasDocument() {
+inline bool WorkflowEvent::Builder::hasJobsForgotten() {
+  if (which() != WorkflowEvent::JOBS_FORGOTTEN) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Catalog::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader WorkflowEvent::Reader::getJobsForgotten() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOBS_FORGOTTEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Catalog::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkflowEvent::Builder::getJobsForgotten() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOBS_FORGOTTEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void WorkflowEvent::Builder::setJobsForgotten( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Catalog::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void WorkflowEvent::Builder::setJobsForgotten(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Catalog::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkflowEvent::Builder::initJobsForgotten(unsigned int size) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Data> Catalog::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void WorkflowEvent::Builder::adoptJobsForgotten(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> WorkflowEvent::Builder::disownJobsForgotten() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOBS_FORGOTTEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkerKey::Reader::hasId() const {
+inline bool WorkflowEvent::Reader::isJobStarted() const {
+  return which() == WorkflowEvent::JOB_STARTED;
+}
+inline bool WorkflowEvent::Builder::isJobStarted() {
+  return which() == WorkflowEvent::JOB_STARTED;
+}
+inline bool WorkflowEvent::Reader::hasJobStarted() const {
+  if (which() != WorkflowEvent::JOB_STARTED) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkerKey::Builder::hasId() {
+inline bool WorkflowEvent::Builder::hasJobStarted() {
+  if (which() != WorkflowEvent::JOB_STARTED) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkerKey::Reader::getId() const {
+inline  ::capnp::Text::Reader WorkflowEvent::Reader::getJobStarted() const {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkerKey::Builder::getId() {
+inline  ::capnp::Text::Builder WorkflowEvent::Builder::getJobStarted() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkerKey::Builder::setId( ::capnp::Text::Reader value) {
+inline void WorkflowEvent::Builder::setJobStarted( ::capnp::Text::Reader value) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WorkerKey::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder WorkflowEvent::Builder::initJobStarted(unsigned int size) {
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WorkerKey::Builder::adoptId(
+inline void WorkflowEvent::Builder::adoptJobStarted(
     ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> WorkerKey::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t WorkerKey::Reader::getBorn() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t WorkerKey::Builder::getBorn() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  _builder.setDataField<WorkflowEvent::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void WorkerKey::Builder::setBorn( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> WorkflowEvent::Builder::disownJobStarted() {
+  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkerSpec::Reader::hasKey() const {
+inline bool WorkflowEvent::JobAccepted::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkerSpec::Builder::hasKey() {
+inline bool WorkflowEvent::JobAccepted::Builder::hasSpec() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkerSpec::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Reader WorkflowEvent::JobAccepted::Reader::getSpec() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkerSpec::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowEvent::JobAccepted::Builder::getSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::WorkerKey::Pipeline WorkerSpec::Pipeline::getKey() {
-  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(0));
+inline  ::mangoplank::wire::schema::JobSpec::Pipeline WorkflowEvent::JobAccepted::Pipeline::getSpec() {
+  return  ::mangoplank::wire::schema::JobSpec::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void WorkerSpec::Builder::setKey( ::mangoplank::wire::schema::WorkerKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
+inline void WorkflowEvent::JobAccepted::Builder::setSpec( ::mangoplank::wire::schema::JobSpec::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkerSpec::Builder::initKey() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowEvent::JobAccepted::Builder::initSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkerSpec::Builder::adoptKey(
-    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
+inline void WorkflowEvent::JobAccepted::Builder::adoptSpec(
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkerSpec::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> WorkflowEvent::JobAccepted::Builder::disownSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkerSpec::Reader::hasAddress() const {
+inline bool WorkflowEvent::JobAccepted::Reader::hasQueue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkerSpec::Builder::hasAddress() {
+inline bool WorkflowEvent::JobAccepted::Builder::hasQueue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::Endpoint::Reader WorkerSpec::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::QueueSpec::Reader WorkflowEvent::JobAccepted::Reader::getQueue() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::Endpoint::Builder WorkerSpec::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowEvent::JobAccepted::Builder::getQueue() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::Endpoint::Pipeline WorkerSpec::Pipeline::getAddress() {
-  return  ::mangoplank::wire::schema::Endpoint::Pipeline(_typeless.getPointerField(1));
+inline  ::mangoplank::wire::schema::QueueSpec::Pipeline WorkflowEvent::JobAccepted::Pipeline::getQueue() {
+  return  ::mangoplank::wire::schema::QueueSpec::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void WorkerSpec::Builder::setAddress( ::mangoplank::wire::schema::Endpoint::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::set(_builder.getPointerField(
+inline void WorkflowEvent::JobAccepted::Builder::setQueue( ::mangoplank::wire::schema::QueueSpec::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::Endpoint::Builder WorkerSpec::Builder::initAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowEvent::JobAccepted::Builder::initQueue() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkerSpec::Builder::adoptAddress(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::adopt(_builder.getPointerField(
+inline void WorkflowEvent::JobAccepted::Builder::adoptQueue(
+    ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint> WorkerSpec::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec> WorkflowEvent::JobAccepted::Builder::disownQueue() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkerSpec::Reader::hasPool() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool WorkerSpec::Builder::hasPool() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader WorkerSpec::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder WorkerSpec::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void WorkerSpec::Builder::setPool( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder WorkerSpec::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::int64_t WorkflowEvent::JobAccepted::Reader::getAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void WorkerSpec::Builder::adoptPool(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t WorkflowEvent::JobAccepted::Builder::getAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkerSpec::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void WorkflowEvent::JobAccepted::Builder::setAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkerSpec::Reader::hasZone() const {
+inline bool WorkflowEvent::RunAssigned::Reader::hasRun() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkerSpec::Builder::hasZone() {
+inline bool WorkflowEvent::RunAssigned::Builder::hasRun() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkerSpec::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Reader WorkflowEvent::RunAssigned::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkerSpec::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunAssigned::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkerSpec::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::RunId::Pipeline WorkflowEvent::RunAssigned::Pipeline::getRun() {
+  return  ::mangoplank::wire::schema::RunId::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder WorkerSpec::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void WorkflowEvent::RunAssigned::Builder::setRun( ::mangoplank::wire::schema::RunId::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void WorkerSpec::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunAssigned::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkerSpec::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void WorkflowEvent::RunAssigned::Builder::adoptRun(
+    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> WorkflowEvent::RunAssigned::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkerSpec::Reader::hasCapacity() const {
+inline bool WorkflowEvent::RunAssigned::Reader::hasWorker() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkerSpec::Builder::hasCapacity() {
+inline bool WorkflowEvent::RunAssigned::Builder::hasWorker() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::Resources::Reader WorkerSpec::Reader::getCapacity() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowEvent::RunAssigned::Reader::getWorker() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::Resources::Builder WorkerSpec::Builder::getCapacity() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::RunAssigned::Builder::getWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::Resources::Pipeline WorkerSpec::Pipeline::getCapacity() {
-  return  ::mangoplank::wire::schema::Resources::Pipeline(_typeless.getPointerField(4));
+inline  ::mangoplank::wire::schema::WorkerKey::Pipeline WorkflowEvent::RunAssigned::Pipeline::getWorker() {
+  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void WorkerSpec::Builder::setCapacity( ::mangoplank::wire::schema::Resources::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void WorkflowEvent::RunAssigned::Builder::setWorker( ::mangoplank::wire::schema::WorkerKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::Resources::Builder WorkerSpec::Builder::initCapacity() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::RunAssigned::Builder::initWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkerSpec::Builder::adoptCapacity(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Resources>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkflowEvent::RunAssigned::Builder::adoptWorker(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Resources> WorkerSpec::Builder::disownCapacity() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowEvent::RunAssigned::Builder::disownWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkerSpec::Reader::hasLabels() const {
+inline bool WorkflowEvent::RunEnded::Reader::hasRun() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkerSpec::Builder::hasLabels() {
+inline bool WorkflowEvent::RunEnded::Builder::hasRun() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader WorkerSpec::Reader::getLabels() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkerSpec::Builder::getLabels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Reader WorkflowEvent::RunEnded::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkerSpec::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunEnded::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkerSpec::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::RunId::Pipeline WorkflowEvent::RunEnded::Pipeline::getRun() {
+  return  ::mangoplank::wire::schema::RunId::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkerSpec::Builder::initLabels(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void WorkflowEvent::RunEnded::Builder::setRun( ::mangoplank::wire::schema::RunId::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void WorkerSpec::Builder::adoptLabels(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunEnded::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> WorkerSpec::Builder::disownLabels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void WorkflowEvent::RunEnded::Builder::adoptRun(
+    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> WorkflowEvent::RunEnded::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkerSpec::Reader::getDraining() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t WorkflowEvent::RunEnded::Reader::getHow() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool WorkerSpec::Builder::getDraining() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t WorkflowEvent::RunEnded::Builder::getHow() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void WorkerSpec::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void WorkflowEvent::RunEnded::Builder::setHow( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t WorkerSpec::Reader::getReportSequence() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::RunEnded::Reader::hasCheckpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t WorkerSpec::Builder::getReportSequence() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool WorkflowEvent::RunEnded::Builder::hasCheckpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void WorkerSpec::Builder::setReportSequence( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader WorkflowEvent::RunEnded::Reader::getCheckpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkflowEvent::RunEnded::Builder::getCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WorkflowEvent::RunEnded::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkflowEvent::RunEnded::Builder::initCheckpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowEvent::RunEnded::Builder::adoptCheckpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkflowEvent::RunEnded::Builder::disownCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowTaskId::Reader::hasJob() const {
+inline bool WorkflowEvents::Reader::hasEvents() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowTaskId::Builder::hasJob() {
+inline bool WorkflowEvents::Builder::hasEvents() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkflowTaskId::Reader::getJob() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Reader WorkflowEvents::Reader::getEvents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowTaskId::Builder::getJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Builder WorkflowEvents::Builder::getEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowTaskId::Builder::setJob( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void WorkflowEvents::Builder::setEvents( ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WorkflowTaskId::Builder::initJob(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Builder WorkflowEvents::Builder::initEvents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowTaskId::Builder::adoptJob(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void WorkflowEvents::Builder::adoptEvents(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowTaskId::Builder::disownJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>> WorkflowEvents::Builder::disownEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t WorkflowTaskId::Reader::getOccurrence() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint8_t WorkflowTask::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t WorkflowTaskId::Builder::getOccurrence() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint8_t WorkflowTask::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowTaskId::Builder::setOccurrence( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void WorkflowTask::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t WorkflowTaskId::Reader::getStep() const {
+inline  ::uint32_t WorkflowTask::Reader::getLastRun() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t WorkflowTaskId::Builder::getStep() {
+inline  ::uint32_t WorkflowTask::Builder::getLastRun() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowTaskId::Builder::setStep( ::uint32_t value) {
+inline void WorkflowTask::Builder::setLastRun( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t WorkflowTaskId::Reader::getIndex() const {
+inline  ::uint32_t WorkflowTask::Reader::getFailures() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t WorkflowTaskId::Builder::getIndex() {
+inline  ::uint32_t WorkflowTask::Builder::getFailures() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowTaskId::Builder::setIndex( ::uint32_t value) {
+inline void WorkflowTask::Builder::setFailures( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunId::Reader::hasTask() const {
+inline bool WorkflowTask::Reader::hasWhere() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunId::Builder::hasTask() {
+inline bool WorkflowTask::Builder::hasWhere() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkflowTaskId::Reader RunId::Reader::getTask() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowTask::Reader::getWhere() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder RunId::Builder::getTask() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowTask::Builder::getWhere() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::WorkflowTaskId::Pipeline RunId::Pipeline::getTask() {
-  return  ::mangoplank::wire::schema::WorkflowTaskId::Pipeline(_typeless.getPointerField(0));
+inline  ::mangoplank::wire::schema::WorkerKey::Pipeline WorkflowTask::Pipeline::getWhere() {
+  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RunId::Builder::setTask( ::mangoplank::wire::schema::WorkflowTaskId::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::set(_builder.getPointerField(
+inline void WorkflowTask::Builder::setWhere( ::mangoplank::wire::schema::WorkerKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkflowTaskId::Builder RunId::Builder::initTask() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowTask::Builder::initWhere() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunId::Builder::adoptTask(
-    ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::adopt(_builder.getPointerField(
+inline void WorkflowTask::Builder::adoptWhere(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkflowTaskId> RunId::Builder::disownTask() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkflowTaskId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowTask::Builder::disownWhere() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunId::Reader::getNumber() const {
+inline bool WorkflowTask::Reader::hasCheckpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowTask::Builder::hasCheckpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkflowTask::Reader::getCheckpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkflowTask::Builder::getCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WorkflowTask::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkflowTask::Builder::initCheckpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowTask::Builder::adoptCheckpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkflowTask::Builder::disownCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WorkflowTask::Reader::getCrashes() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RunId::Builder::getNumber() {
+inline  ::uint32_t WorkflowTask::Builder::getCrashes() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RunId::Builder::setNumber( ::uint32_t value) {
+inline void WorkflowTask::Builder::setCrashes( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::mangoplank::wire::schema::WorkflowEvent::Which WorkflowEvent::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool WorkflowTask::Reader::getSuspected() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline  ::mangoplank::wire::schema::WorkflowEvent::Which WorkflowEvent::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+
+inline bool WorkflowTask::Builder::getSuspected() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowTask::Builder::setSuspected(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowEvent::Reader::isCatalogDeclared() const {
-  return which() == WorkflowEvent::CATALOG_DECLARED;
+inline  ::uint32_t WorkflowTask::Reader::getLosses() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowEvent::Builder::isCatalogDeclared() {
-  return which() == WorkflowEvent::CATALOG_DECLARED;
+
+inline  ::uint32_t WorkflowTask::Builder::getLosses() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowEvent::Reader::hasCatalogDeclared() const {
-  if (which() != WorkflowEvent::CATALOG_DECLARED) return false;
+inline void WorkflowTask::Builder::setLosses( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowJob::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Builder::hasCatalogDeclared() {
-  if (which() != WorkflowEvent::CATALOG_DECLARED) return false;
+inline bool WorkflowJob::Builder::hasSpec() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::Catalog::Reader WorkflowEvent::Reader::getCatalogDeclared() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::CATALOG_DECLARED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Reader WorkflowJob::Reader::getSpec() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowEvent::Builder::getCatalogDeclared() {
-  KJ_IREQUIRE((which() == WorkflowEvent::CATALOG_DECLARED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowJob::Builder::getSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::setCatalogDeclared( ::mangoplank::wire::schema::Catalog::Reader value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::CATALOG_DECLARED);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::JobSpec::Pipeline WorkflowJob::Pipeline::getSpec() {
+  return  ::mangoplank::wire::schema::JobSpec::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void WorkflowJob::Builder::setSpec( ::mangoplank::wire::schema::JobSpec::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowEvent::Builder::initCatalogDeclared() {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::CATALOG_DECLARED);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowJob::Builder::initSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::adoptCatalogDeclared(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Catalog>&& value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::CATALOG_DECLARED);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::adopt(_builder.getPointerField(
+inline void WorkflowJob::Builder::adoptSpec(
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Catalog> WorkflowEvent::Builder::disownCatalogDeclared() {
-  KJ_IREQUIRE((which() == WorkflowEvent::CATALOG_DECLARED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> WorkflowJob::Builder::disownSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::Reader::isJobAccepted() const {
-  return which() == WorkflowEvent::JOB_ACCEPTED;
-}
-inline bool WorkflowEvent::Builder::isJobAccepted() {
-  return which() == WorkflowEvent::JOB_ACCEPTED;
-}
-inline typename WorkflowEvent::JobAccepted::Reader WorkflowEvent::Reader::getJobAccepted() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_ACCEPTED),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowEvent::JobAccepted::Reader(_reader);
-}
-inline typename WorkflowEvent::JobAccepted::Builder WorkflowEvent::Builder::getJobAccepted() {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_ACCEPTED),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowEvent::JobAccepted::Builder(_builder);
+inline bool WorkflowJob::Reader::hasQueue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline typename WorkflowEvent::JobAccepted::Builder WorkflowEvent::Builder::initJobAccepted() {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_ACCEPTED);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename WorkflowEvent::JobAccepted::Builder(_builder);
+inline bool WorkflowJob::Builder::hasQueue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Reader::isJobCancelled() const {
-  return which() == WorkflowEvent::JOB_CANCELLED;
+inline  ::mangoplank::wire::schema::QueueSpec::Reader WorkflowJob::Reader::getQueue() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline bool WorkflowEvent::Builder::isJobCancelled() {
-  return which() == WorkflowEvent::JOB_CANCELLED;
+inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowJob::Builder::getQueue() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline bool WorkflowEvent::Reader::hasJobCancelled() const {
-  if (which() != WorkflowEvent::JOB_CANCELLED) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::QueueSpec::Pipeline WorkflowJob::Pipeline::getQueue() {
+  return  ::mangoplank::wire::schema::QueueSpec::Pipeline(_typeless.getPointerField(1));
 }
-inline bool WorkflowEvent::Builder::hasJobCancelled() {
-  if (which() != WorkflowEvent::JOB_CANCELLED) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#endif  // !CAPNP_LITE
+inline void WorkflowJob::Builder::setQueue( ::mangoplank::wire::schema::QueueSpec::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Reader WorkflowEvent::Reader::getJobCancelled() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_CANCELLED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowJob::Builder::initQueue() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowEvent::Builder::getJobCancelled() {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_CANCELLED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void WorkflowJob::Builder::adoptQueue(
+    ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void WorkflowEvent::Builder::setJobCancelled( ::capnp::Text::Reader value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_CANCELLED);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec> WorkflowJob::Builder::disownQueue() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowEvent::Builder::initJobCancelled(unsigned int size) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_CANCELLED);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::int64_t WorkflowJob::Reader::getAcceptedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowEvent::Builder::adoptJobCancelled(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_CANCELLED);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t WorkflowJob::Builder::getAcceptedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowEvent::Builder::disownJobCancelled() {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_CANCELLED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void WorkflowJob::Builder::setAcceptedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowEvent::Reader::isRunAssigned() const {
-  return which() == WorkflowEvent::RUN_ASSIGNED;
-}
-inline bool WorkflowEvent::Builder::isRunAssigned() {
-  return which() == WorkflowEvent::RUN_ASSIGNED;
+inline  ::uint8_t WorkflowJob::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline typename WorkflowEvent::RunAssigned::Reader WorkflowEvent::Reader::getRunAssigned() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ASSIGNED),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowEvent::RunAssigned::Reader(_reader);
+
+inline  ::uint8_t WorkflowJob::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline typename WorkflowEvent::RunAssigned::Builder WorkflowEvent::Builder::getRunAssigned() {
-  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ASSIGNED),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowEvent::RunAssigned::Builder(_builder);
+inline void WorkflowJob::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
-inline typename WorkflowEvent::RunAssigned::Builder WorkflowEvent::Builder::initRunAssigned() {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::RUN_ASSIGNED);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename WorkflowEvent::RunAssigned::Builder(_builder);
+
+inline bool WorkflowJob::Reader::hasTasks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Reader::isRunEnded() const {
-  return which() == WorkflowEvent::RUN_ENDED;
+inline bool WorkflowJob::Builder::hasTasks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Builder::isRunEnded() {
-  return which() == WorkflowEvent::RUN_ENDED;
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Reader WorkflowJob::Reader::getTasks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline typename WorkflowEvent::RunEnded::Reader WorkflowEvent::Reader::getRunEnded() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ENDED),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowEvent::RunEnded::Reader(_reader);
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Builder WorkflowJob::Builder::getTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline typename WorkflowEvent::RunEnded::Builder WorkflowEvent::Builder::getRunEnded() {
-  KJ_IREQUIRE((which() == WorkflowEvent::RUN_ENDED),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowEvent::RunEnded::Builder(_builder);
+inline void WorkflowJob::Builder::setTasks( ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline typename WorkflowEvent::RunEnded::Builder WorkflowEvent::Builder::initRunEnded() {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::RUN_ENDED);
-  _builder.setDataField< ::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename WorkflowEvent::RunEnded::Builder(_builder);
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Builder WorkflowJob::Builder::initTasks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline bool WorkflowEvent::Reader::isWorkerAnnounced() const {
-  return which() == WorkflowEvent::WORKER_ANNOUNCED;
+inline void WorkflowJob::Builder::adoptTasks(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool WorkflowEvent::Builder::isWorkerAnnounced() {
-  return which() == WorkflowEvent::WORKER_ANNOUNCED;
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>> WorkflowJob::Builder::disownTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline bool WorkflowEvent::Reader::hasWorkerAnnounced() const {
-  if (which() != WorkflowEvent::WORKER_ANNOUNCED) return false;
+
+inline bool WorkflowJob::Reader::hasLeft() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Builder::hasWorkerAnnounced() {
-  if (which() != WorkflowEvent::WORKER_ANNOUNCED) return false;
+inline bool WorkflowJob::Builder::hasLeft() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkerSpec::Reader WorkflowEvent::Reader::getWorkerAnnounced() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_ANNOUNCED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader WorkflowJob::Reader::getLeft() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowEvent::Builder::getWorkerAnnounced() {
-  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_ANNOUNCED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowJob::Builder::getLeft() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::setWorkerAnnounced( ::mangoplank::wire::schema::WorkerSpec::Reader value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_ANNOUNCED);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void WorkflowJob::Builder::setLeft( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void WorkflowJob::Builder::setLeft(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowEvent::Builder::initWorkerAnnounced() {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_ANNOUNCED);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowJob::Builder::initLeft(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowEvent::Builder::adoptWorkerAnnounced(
-    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec>&& value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_ANNOUNCED);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkflowJob::Builder::adoptLeft(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec> WorkflowEvent::Builder::disownWorkerAnnounced() {
-  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_ANNOUNCED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> WorkflowJob::Builder::disownLeft() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::Reader::isWorkerRemoved() const {
-  return which() == WorkflowEvent::WORKER_REMOVED;
+inline  ::uint8_t WorkflowJob::Reader::getFailure() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowEvent::Builder::isWorkerRemoved() {
-  return which() == WorkflowEvent::WORKER_REMOVED;
+
+inline  ::uint8_t WorkflowJob::Builder::getFailure() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowEvent::Reader::hasWorkerRemoved() const {
-  if (which() != WorkflowEvent::WORKER_REMOVED) return false;
+inline void WorkflowJob::Builder::setFailure( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowImage::Reader::hasCatalog() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Builder::hasWorkerRemoved() {
-  if (which() != WorkflowEvent::WORKER_REMOVED) return false;
+inline bool WorkflowImage::Builder::hasCatalog() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowEvent::Reader::getWorkerRemoved() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_REMOVED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::Catalog::Reader WorkflowImage::Reader::getCatalog() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::Builder::getWorkerRemoved() {
-  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_REMOVED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowImage::Builder::getCatalog() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::setWorkerRemoved( ::mangoplank::wire::schema::WorkerKey::Reader value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_REMOVED);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::Catalog::Pipeline WorkflowImage::Pipeline::getCatalog() {
+  return  ::mangoplank::wire::schema::Catalog::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void WorkflowImage::Builder::setCatalog( ::mangoplank::wire::schema::Catalog::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::Builder::initWorkerRemoved() {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_REMOVED);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowImage::Builder::initCatalog() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::adoptWorkerRemoved(
-    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::WORKER_REMOVED);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
+inline void WorkflowImage::Builder::adoptCatalog(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Catalog>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowEvent::Builder::disownWorkerRemoved() {
-  KJ_IREQUIRE((which() == WorkflowEvent::WORKER_REMOVED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Catalog> WorkflowImage::Builder::disownCatalog() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::Reader::isJobsForgotten() const {
-  return which() == WorkflowEvent::JOBS_FORGOTTEN;
-}
-inline bool WorkflowEvent::Builder::isJobsForgotten() {
-  return which() == WorkflowEvent::JOBS_FORGOTTEN;
-}
-inline bool WorkflowEvent::Reader::hasJobsForgotten() const {
-  if (which() != WorkflowEvent::JOBS_FORGOTTEN) return false;
+inline bool WorkflowImage::Reader::hasJobs() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Builder::hasJobsForgotten() {
-  if (which() != WorkflowEvent::JOBS_FORGOTTEN) return false;
+inline bool WorkflowImage::Builder::hasJobs() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader WorkflowEvent::Reader::getJobsForgotten() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOBS_FORGOTTEN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkflowEvent::Builder::getJobsForgotten() {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOBS_FORGOTTEN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Reader WorkflowImage::Reader::getJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::setJobsForgotten( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::getJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::setJobsForgotten(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void WorkflowImage::Builder::setJobs( ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder WorkflowEvent::Builder::initJobsForgotten(unsigned int size) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::initJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowEvent::Builder::adoptJobsForgotten(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOBS_FORGOTTEN);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkflowImage::Builder::adoptJobs(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> WorkflowEvent::Builder::disownJobsForgotten() {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOBS_FORGOTTEN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>> WorkflowImage::Builder::disownJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::Reader::isJobStarted() const {
-  return which() == WorkflowEvent::JOB_STARTED;
-}
-inline bool WorkflowEvent::Builder::isJobStarted() {
-  return which() == WorkflowEvent::JOB_STARTED;
-}
-inline bool WorkflowEvent::Reader::hasJobStarted() const {
-  if (which() != WorkflowEvent::JOB_STARTED) return false;
+inline bool WorkflowImage::Reader::hasWorkers() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::Builder::hasJobStarted() {
-  if (which() != WorkflowEvent::JOB_STARTED) return false;
+inline bool WorkflowImage::Builder::hasWorkers() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkflowEvent::Reader::getJobStarted() const {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Reader WorkflowImage::Reader::getWorkers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowEvent::Builder::getJobStarted() {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::getWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::Builder::setJobStarted( ::capnp::Text::Reader value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void WorkflowImage::Builder::setWorkers( ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WorkflowEvent::Builder::initJobStarted(unsigned int size) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::initWorkers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowEvent::Builder::adoptJobStarted(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<WorkflowEvent::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::JOB_STARTED);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkflowImage::Builder::adoptWorkers(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowEvent::Builder::disownJobStarted() {
-  KJ_IREQUIRE((which() == WorkflowEvent::JOB_STARTED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>> WorkflowImage::Builder::disownWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::JobAccepted::Reader::hasSpec() const {
+inline bool JobAddress::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::JobAccepted::Builder::hasSpec() {
+inline bool JobAddress::Builder::hasHost() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobSpec::Reader WorkflowEvent::JobAccepted::Reader::getSpec() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader JobAddress::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowEvent::JobAccepted::Builder::getSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder JobAddress::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::JobSpec::Pipeline WorkflowEvent::JobAccepted::Pipeline::getSpec() {
-  return  ::mangoplank::wire::schema::JobSpec::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void WorkflowEvent::JobAccepted::Builder::setSpec( ::mangoplank::wire::schema::JobSpec::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::set(_builder.getPointerField(
+inline void JobAddress::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowEvent::JobAccepted::Builder::initSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder JobAddress::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowEvent::JobAccepted::Builder::adoptSpec(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::adopt(_builder.getPointerField(
+inline void JobAddress::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> WorkflowEvent::JobAccepted::Builder::disownSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> JobAddress::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::JobAccepted::Reader::hasQueue() const {
+inline bool JobAddress::Reader::hasPath() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::JobAccepted::Builder::hasQueue() {
+inline bool JobAddress::Builder::hasPath() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::QueueSpec::Reader WorkflowEvent::JobAccepted::Reader::getQueue() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader JobAddress::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowEvent::JobAccepted::Builder::getQueue() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder JobAddress::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::QueueSpec::Pipeline WorkflowEvent::JobAccepted::Pipeline::getQueue() {
-  return  ::mangoplank::wire::schema::QueueSpec::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void WorkflowEvent::JobAccepted::Builder::setQueue( ::mangoplank::wire::schema::QueueSpec::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::set(_builder.getPointerField(
+inline void JobAddress::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowEvent::JobAccepted::Builder::initQueue() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder JobAddress::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowEvent::JobAccepted::Builder::adoptQueue(
-    ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::adopt(_builder.getPointerField(
+inline void JobAddress::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec> WorkflowEvent::JobAccepted::Builder::disownQueue() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> JobAddress::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t WorkflowEvent::JobAccepted::Reader::getAt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::mangoplank::wire::schema::WorkflowRequest::Which WorkflowRequest::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::mangoplank::wire::schema::WorkflowRequest::Which WorkflowRequest::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t WorkflowEvent::JobAccepted::Builder::getAt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t WorkflowRequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowEvent::JobAccepted::Builder::setAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t WorkflowRequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowRequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowEvent::RunAssigned::Reader::hasRun() const {
+inline bool WorkflowRequest::Reader::isSubmit() const {
+  return which() == WorkflowRequest::SUBMIT;
+}
+inline bool WorkflowRequest::Builder::isSubmit() {
+  return which() == WorkflowRequest::SUBMIT;
+}
+inline typename WorkflowRequest::Submit::Reader WorkflowRequest::Reader::getSubmit() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::SUBMIT),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowRequest::Submit::Reader(_reader);
+}
+inline typename WorkflowRequest::Submit::Builder WorkflowRequest::Builder::getSubmit() {
+  KJ_IREQUIRE((which() == WorkflowRequest::SUBMIT),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowRequest::Submit::Builder(_builder);
+}
+inline typename WorkflowRequest::Submit::Builder WorkflowRequest::Builder::initSubmit() {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::SUBMIT);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename WorkflowRequest::Submit::Builder(_builder);
+}
+inline bool WorkflowRequest::Reader::isGet() const {
+  return which() == WorkflowRequest::GET;
+}
+inline bool WorkflowRequest::Builder::isGet() {
+  return which() == WorkflowRequest::GET;
+}
+inline bool WorkflowRequest::Reader::hasGet() const {
+  if (which() != WorkflowRequest::GET) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::RunAssigned::Builder::hasRun() {
+inline bool WorkflowRequest::Builder::hasGet() {
+  if (which() != WorkflowRequest::GET) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::RunId::Reader WorkflowEvent::RunAssigned::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getGet() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::GET),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunAssigned::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getGet() {
+  KJ_IREQUIRE((which() == WorkflowRequest::GET),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::RunId::Pipeline WorkflowEvent::RunAssigned::Pipeline::getRun() {
-  return  ::mangoplank::wire::schema::RunId::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void WorkflowEvent::RunAssigned::Builder::setRun( ::mangoplank::wire::schema::RunId::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
+inline void WorkflowRequest::Builder::setGet( ::mangoplank::wire::schema::JobAddress::Reader value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunAssigned::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initGet() {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::RunAssigned::Builder::adoptRun(
-    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
+inline void WorkflowRequest::Builder::adoptGet(
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> WorkflowEvent::RunAssigned::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownGet() {
+  KJ_IREQUIRE((which() == WorkflowRequest::GET),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::RunAssigned::Reader::hasWorker() const {
+inline bool WorkflowRequest::Reader::isCancel() const {
+  return which() == WorkflowRequest::CANCEL;
+}
+inline bool WorkflowRequest::Builder::isCancel() {
+  return which() == WorkflowRequest::CANCEL;
+}
+inline bool WorkflowRequest::Reader::hasCancel() const {
+  if (which() != WorkflowRequest::CANCEL) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::RunAssigned::Builder::hasWorker() {
+inline bool WorkflowRequest::Builder::hasCancel() {
+  if (which() != WorkflowRequest::CANCEL) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowEvent::RunAssigned::Reader::getWorker() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::RunAssigned::Builder::getWorker() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getCancel() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::WorkerKey::Pipeline WorkflowEvent::RunAssigned::Pipeline::getWorker() {
-  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(1));
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getCancel() {
+  KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void WorkflowEvent::RunAssigned::Builder::setWorker( ::mangoplank::wire::schema::WorkerKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void WorkflowRequest::Builder::setCancel( ::mangoplank::wire::schema::JobAddress::Reader value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowEvent::RunAssigned::Builder::initWorker() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initCancel() {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::RunAssigned::Builder::adoptWorker(
-    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkflowRequest::Builder::adoptCancel(
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowEvent::RunAssigned::Builder::disownWorker() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownCancel() {
+  KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowEvent::RunEnded::Reader::hasRun() const {
+inline bool WorkflowRequest::Reader::isAnnounce() const {
+  return which() == WorkflowRequest::ANNOUNCE;
+}
+inline bool WorkflowRequest::Builder::isAnnounce() {
+  return which() == WorkflowRequest::ANNOUNCE;
+}
+inline typename WorkflowRequest::Announce::Reader WorkflowRequest::Reader::getAnnounce() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::ANNOUNCE),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowRequest::Announce::Reader(_reader);
+}
+inline typename WorkflowRequest::Announce::Builder WorkflowRequest::Builder::getAnnounce() {
+  KJ_IREQUIRE((which() == WorkflowRequest::ANNOUNCE),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowRequest::Announce::Builder(_builder);
+}
+inline typename WorkflowRequest::Announce::Builder WorkflowRequest::Builder::initAnnounce() {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::ANNOUNCE);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename WorkflowRequest::Announce::Builder(_builder);
+}
+inline bool WorkflowRequest::Reader::isRemoveWorker() const {
+  return which() == WorkflowRequest::REMOVE_WORKER;
+}
+inline bool WorkflowRequest::Builder::isRemoveWorker() {
+  return which() == WorkflowRequest::REMOVE_WORKER;
+}
+inline bool WorkflowRequest::Reader::hasRemoveWorker() const {
+  if (which() != WorkflowRequest::REMOVE_WORKER) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvent::RunEnded::Builder::hasRun() {
+inline bool WorkflowRequest::Builder::hasRemoveWorker() {
+  if (which() != WorkflowRequest::REMOVE_WORKER) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::RunId::Reader WorkflowEvent::RunEnded::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowRequest::Reader::getRemoveWorker() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::REMOVE_WORKER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunEnded::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowRequest::Builder::getRemoveWorker() {
+  KJ_IREQUIRE((which() == WorkflowRequest::REMOVE_WORKER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::RunId::Pipeline WorkflowEvent::RunEnded::Pipeline::getRun() {
-  return  ::mangoplank::wire::schema::RunId::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void WorkflowEvent::RunEnded::Builder::setRun( ::mangoplank::wire::schema::RunId::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
+inline void WorkflowRequest::Builder::setRemoveWorker( ::mangoplank::wire::schema::WorkerKey::Reader value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::REMOVE_WORKER);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::RunId::Builder WorkflowEvent::RunEnded::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowRequest::Builder::initRemoveWorker() {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::REMOVE_WORKER);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvent::RunEnded::Builder::adoptRun(
-    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
+inline void WorkflowRequest::Builder::adoptRemoveWorker(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::REMOVE_WORKER);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> WorkflowEvent::RunEnded::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowRequest::Builder::disownRemoveWorker() {
+  KJ_IREQUIRE((which() == WorkflowRequest::REMOVE_WORKER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t WorkflowEvent::RunEnded::Reader::getHow() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t WorkflowEvent::RunEnded::Builder::getHow() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void WorkflowEvent::RunEnded::Builder::setHow( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool WorkflowEvent::RunEnded::Reader::hasCheckpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool WorkflowEvent::RunEnded::Builder::hasCheckpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader WorkflowEvent::RunEnded::Reader::getCheckpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder WorkflowEvent::RunEnded::Builder::getCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void WorkflowEvent::RunEnded::Builder::setCheckpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder WorkflowEvent::RunEnded::Builder::initCheckpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void WorkflowEvent::RunEnded::Builder::adoptCheckpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline bool WorkflowRequest::Reader::isDeclare() const {
+  return which() == WorkflowRequest::DECLARE;
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowEvent::RunEnded::Builder::disownCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool WorkflowRequest::Builder::isDeclare() {
+  return which() == WorkflowRequest::DECLARE;
 }
-
-inline bool WorkflowEvents::Reader::hasEvents() const {
+inline bool WorkflowRequest::Reader::hasDeclare() const {
+  if (which() != WorkflowRequest::DECLARE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowEvents::Builder::hasEvents() {
+inline bool WorkflowRequest::Builder::hasDeclare() {
+  if (which() != WorkflowRequest::DECLARE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Reader WorkflowEvents::Reader::getEvents() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::Catalog::Reader WorkflowRequest::Reader::getDeclare() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::DECLARE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Builder WorkflowEvents::Builder::getEvents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowRequest::Builder::getDeclare() {
+  KJ_IREQUIRE((which() == WorkflowRequest::DECLARE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvents::Builder::setEvents( ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void WorkflowRequest::Builder::setDeclare( ::mangoplank::wire::schema::Catalog::Reader value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::DECLARE);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>::Builder WorkflowEvents::Builder::initEvents(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowRequest::Builder::initDeclare() {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::DECLARE);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowEvents::Builder::adoptEvents(
-    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void WorkflowRequest::Builder::adoptDeclare(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Catalog>&& value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::DECLARE);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>> WorkflowEvents::Builder::disownEvents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowEvent,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Catalog> WorkflowRequest::Builder::disownDeclare() {
+  KJ_IREQUIRE((which() == WorkflowRequest::DECLARE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t WorkflowTask::Reader::getPhase() const {
-  return _reader.getDataField< ::uint8_t>(
+inline bool WorkflowRequest::Reader::isReadCatalog() const {
+  return which() == WorkflowRequest::READ_CATALOG;
+}
+inline bool WorkflowRequest::Builder::isReadCatalog() {
+  return which() == WorkflowRequest::READ_CATALOG;
+}
+inline  ::capnp::Void WorkflowRequest::Reader::getReadCatalog() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::READ_CATALOG),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t WorkflowTask::Builder::getPhase() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::capnp::Void WorkflowRequest::Builder::getReadCatalog() {
+  KJ_IREQUIRE((which() == WorkflowRequest::READ_CATALOG),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowTask::Builder::setPhase( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void WorkflowRequest::Builder::setReadCatalog( ::capnp::Void value) {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::READ_CATALOG);
+  _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t WorkflowTask::Reader::getLastRun() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t WorkflowTask::Builder::getLastRun() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool WorkflowRequest::Reader::isJoinMembers() const {
+  return which() == WorkflowRequest::JOIN_MEMBERS;
 }
-inline void WorkflowTask::Builder::setLastRun( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool WorkflowRequest::Builder::isJoinMembers() {
+  return which() == WorkflowRequest::JOIN_MEMBERS;
 }
-
-inline  ::uint32_t WorkflowTask::Reader::getFailures() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline typename WorkflowRequest::JoinMembers::Reader WorkflowRequest::Reader::getJoinMembers() const {
+  KJ_IREQUIRE((which() == WorkflowRequest::JOIN_MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowRequest::JoinMembers::Reader(_reader);
 }
-
-inline  ::uint32_t WorkflowTask::Builder::getFailures() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline typename WorkflowRequest::JoinMembers::Builder WorkflowRequest::Builder::getJoinMembers() {
+  KJ_IREQUIRE((which() == WorkflowRequest::JOIN_MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowRequest::JoinMembers::Builder(_builder);
 }
-inline void WorkflowTask::Builder::setFailures( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline typename WorkflowRequest::JoinMembers::Builder WorkflowRequest::Builder::initJoinMembers() {
+  _builder.setDataField<WorkflowRequest::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::JOIN_MEMBERS);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename WorkflowRequest::JoinMembers::Builder(_builder);
 }
-
-inline bool WorkflowTask::Reader::hasWhere() const {
+inline bool WorkflowRequest::Submit::Reader::hasTo() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowTask::Builder::hasWhere() {
+inline bool WorkflowRequest::Submit::Builder::hasTo() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowTask::Reader::getWhere() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Submit::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowTask::Builder::getWhere() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Submit::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::WorkerKey::Pipeline WorkflowTask::Pipeline::getWhere() {
-  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(0));
+inline  ::mangoplank::wire::schema::JobAddress::Pipeline WorkflowRequest::Submit::Pipeline::getTo() {
+  return  ::mangoplank::wire::schema::JobAddress::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void WorkflowTask::Builder::setWhere( ::mangoplank::wire::schema::WorkerKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
+inline void WorkflowRequest::Submit::Builder::setTo( ::mangoplank::wire::schema::JobAddress::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowTask::Builder::initWhere() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Submit::Builder::initTo() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowTask::Builder::adoptWhere(
-    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
+inline void WorkflowRequest::Submit::Builder::adoptTo(
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowTask::Builder::disownWhere() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Submit::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowTask::Reader::hasCheckpoint() const {
+inline bool WorkflowRequest::Submit::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowTask::Builder::hasCheckpoint() {
+inline bool WorkflowRequest::Submit::Builder::hasSpec() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkflowTask::Reader::getCheckpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Reader WorkflowRequest::Submit::Reader::getSpec() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowTask::Builder::getCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowRequest::Submit::Builder::getSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowTask::Builder::setCheckpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::JobSpec::Pipeline WorkflowRequest::Submit::Pipeline::getSpec() {
+  return  ::mangoplank::wire::schema::JobSpec::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void WorkflowRequest::Submit::Builder::setSpec( ::mangoplank::wire::schema::JobSpec::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WorkflowTask::Builder::initCheckpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowRequest::Submit::Builder::initSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowTask::Builder::adoptCheckpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void WorkflowRequest::Submit::Builder::adoptSpec(
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowTask::Builder::disownCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> WorkflowRequest::Submit::Builder::disownSpec() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t WorkflowTask::Reader::getCrashes() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool WorkflowRequest::Announce::Reader::hasWorker() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t WorkflowTask::Builder::getCrashes() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool WorkflowRequest::Announce::Builder::hasWorker() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void WorkflowTask::Builder::setCrashes( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::mangoplank::wire::schema::WorkerSpec::Reader WorkflowRequest::Announce::Reader::getWorker() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool WorkflowTask::Reader::getSuspected() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowRequest::Announce::Builder::getWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool WorkflowTask::Builder::getSuspected() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::WorkerSpec::Pipeline WorkflowRequest::Announce::Pipeline::getWorker() {
+  return  ::mangoplank::wire::schema::WorkerSpec::Pipeline(_typeless.getPointerField(0));
 }
-inline void WorkflowTask::Builder::setSuspected(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void WorkflowRequest::Announce::Builder::setWorker( ::mangoplank::wire::schema::WorkerSpec::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowRequest::Announce::Builder::initWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowRequest::Announce::Builder::adoptWorker(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec> WorkflowRequest::Announce::Builder::disownWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t WorkflowTask::Reader::getLosses() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t WorkflowRequest::Announce::Reader::getClockMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t WorkflowTask::Builder::getLosses() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t WorkflowRequest::Announce::Builder::getClockMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowTask::Builder::setLosses( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void WorkflowRequest::Announce::Builder::setClockMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowJob::Reader::hasSpec() const {
+inline bool WorkflowRequest::JoinMembers::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowJob::Builder::hasSpec() {
+inline bool WorkflowRequest::JoinMembers::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobSpec::Reader WorkflowJob::Reader::getSpec() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader WorkflowRequest::JoinMembers::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowJob::Builder::getSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder WorkflowRequest::JoinMembers::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::JobSpec::Pipeline WorkflowJob::Pipeline::getSpec() {
-  return  ::mangoplank::wire::schema::JobSpec::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void WorkflowJob::Builder::setSpec( ::mangoplank::wire::schema::JobSpec::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::set(_builder.getPointerField(
+inline void WorkflowRequest::JoinMembers::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowJob::Builder::initSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder WorkflowRequest::JoinMembers::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowJob::Builder::adoptSpec(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::adopt(_builder.getPointerField(
+inline void WorkflowRequest::JoinMembers::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> WorkflowJob::Builder::disownSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> WorkflowRequest::JoinMembers::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowJob::Reader::hasQueue() const {
+inline bool WorkflowRequest::JoinMembers::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowJob::Builder::hasQueue() {
+inline bool WorkflowRequest::JoinMembers::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::QueueSpec::Reader WorkflowJob::Reader::getQueue() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::Endpoint::Reader WorkflowRequest::JoinMembers::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowJob::Builder::getQueue() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::Endpoint::Builder WorkflowRequest::JoinMembers::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::QueueSpec::Pipeline WorkflowJob::Pipeline::getQueue() {
-  return  ::mangoplank::wire::schema::QueueSpec::Pipeline(_typeless.getPointerField(1));
+inline  ::mangoplank::wire::schema::Endpoint::Pipeline WorkflowRequest::JoinMembers::Pipeline::getAddress() {
+  return  ::mangoplank::wire::schema::Endpoint::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void WorkflowJob::Builder::setQueue( ::mangoplank::wire::schema::QueueSpec::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::set(_builder.getPointerField(
+inline void WorkflowRequest::JoinMembers::Builder::setAddress( ::mangoplank::wire::schema::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::QueueSpec::Builder WorkflowJob::Builder::initQueue() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::Endpoint::Builder WorkflowRequest::JoinMembers::Builder::initAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowJob::Builder::adoptQueue(
-    ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::adopt(_builder.getPointerField(
+inline void WorkflowRequest::JoinMembers::Builder::adoptAddress(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::QueueSpec> WorkflowJob::Builder::disownQueue() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::QueueSpec>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint> WorkflowRequest::JoinMembers::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t WorkflowJob::Reader::getAcceptedAt() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::mangoplank::wire::schema::WorkflowAnswer::Which WorkflowAnswer::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::mangoplank::wire::schema::WorkflowAnswer::Which WorkflowAnswer::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkflowAnswer::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t WorkflowJob::Builder::getAcceptedAt() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t WorkflowAnswer::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowJob::Builder::setAcceptedAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void WorkflowAnswer::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t WorkflowJob::Reader::getPhase() const {
+inline bool WorkflowAnswer::Reader::isAccepted() const {
+  return which() == WorkflowAnswer::ACCEPTED;
+}
+inline bool WorkflowAnswer::Builder::isAccepted() {
+  return which() == WorkflowAnswer::ACCEPTED;
+}
+inline  ::capnp::Void WorkflowAnswer::Reader::getAccepted() const {
+  KJ_IREQUIRE((which() == WorkflowAnswer::ACCEPTED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void WorkflowAnswer::Builder::getAccepted() {
+  KJ_IREQUIRE((which() == WorkflowAnswer::ACCEPTED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowAnswer::Builder::setAccepted( ::capnp::Void value) {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::ACCEPTED);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowAnswer::Reader::isJob() const {
+  return which() == WorkflowAnswer::JOB;
+}
+inline bool WorkflowAnswer::Builder::isJob() {
+  return which() == WorkflowAnswer::JOB;
+}
+inline  ::uint8_t WorkflowAnswer::Reader::getJob() const {
+  KJ_IREQUIRE((which() == WorkflowAnswer::JOB),
+              "Must check which() before get()ing a union member.");
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t WorkflowJob::Builder::getPhase() {
+inline  ::uint8_t WorkflowAnswer::Builder::getJob() {
+  KJ_IREQUIRE((which() == WorkflowAnswer::JOB),
+              "Must check which() before get()ing a union member.");
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowAnswer::Builder::setJob( ::uint8_t value) {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::JOB);
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowAnswer::Reader::isQueued() const {
+  return which() == WorkflowAnswer::QUEUED;
+}
+inline bool WorkflowAnswer::Builder::isQueued() {
+  return which() == WorkflowAnswer::QUEUED;
+}
+inline  ::uint64_t WorkflowAnswer::Reader::getQueued() const {
+  KJ_IREQUIRE((which() == WorkflowAnswer::QUEUED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkflowAnswer::Builder::getQueued() {
+  KJ_IREQUIRE((which() == WorkflowAnswer::QUEUED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowJob::Builder::setPhase( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void WorkflowAnswer::Builder::setQueued( ::uint64_t value) {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::QUEUED);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowJob::Reader::hasTasks() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool WorkflowJob::Builder::hasTasks() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool WorkflowAnswer::Reader::isCatalog() const {
+  return which() == WorkflowAnswer::CATALOG;
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Reader WorkflowJob::Reader::getTasks() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool WorkflowAnswer::Builder::isCatalog() {
+  return which() == WorkflowAnswer::CATALOG;
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Builder WorkflowJob::Builder::getTasks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline typename WorkflowAnswer::Catalog::Reader WorkflowAnswer::Reader::getCatalog() const {
+  KJ_IREQUIRE((which() == WorkflowAnswer::CATALOG),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowAnswer::Catalog::Reader(_reader);
 }
-inline void WorkflowJob::Builder::setTasks( ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline typename WorkflowAnswer::Catalog::Builder WorkflowAnswer::Builder::getCatalog() {
+  KJ_IREQUIRE((which() == WorkflowAnswer::CATALOG),
+              "Must check which() before get()ing a union member.");
+  return typename WorkflowAnswer::Catalog::Builder(_builder);
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>::Builder WorkflowJob::Builder::initTasks(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline typename WorkflowAnswer::Catalog::Builder WorkflowAnswer::Builder::initCatalog() {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::CATALOG);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename WorkflowAnswer::Catalog::Builder(_builder);
 }
-inline void WorkflowJob::Builder::adoptTasks(
-    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline bool WorkflowAnswer::Reader::isFailure() const {
+  return which() == WorkflowAnswer::FAILURE;
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>> WorkflowJob::Builder::disownTasks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowTask,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool WorkflowAnswer::Builder::isFailure() {
+  return which() == WorkflowAnswer::FAILURE;
 }
-
-inline bool WorkflowJob::Reader::hasLeft() const {
+inline bool WorkflowAnswer::Reader::hasFailure() const {
+  if (which() != WorkflowAnswer::FAILURE) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowJob::Builder::hasLeft() {
+inline bool WorkflowAnswer::Builder::hasFailure() {
+  if (which() != WorkflowAnswer::FAILURE) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader WorkflowJob::Reader::getLeft() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::Failure::Reader WorkflowAnswer::Reader::getFailure() const {
+  KJ_IREQUIRE((which() == WorkflowAnswer::FAILURE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowJob::Builder::getLeft() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::Failure::Builder WorkflowAnswer::Builder::getFailure() {
+  KJ_IREQUIRE((which() == WorkflowAnswer::FAILURE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowJob::Builder::setLeft( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void WorkflowAnswer::Builder::setFailure( ::mangoplank::wire::schema::Failure::Reader value) {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::FAILURE);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void WorkflowJob::Builder::setLeft(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::mangoplank::wire::schema::Failure::Builder WorkflowAnswer::Builder::initFailure() {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::FAILURE);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WorkflowJob::Builder::initLeft(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline void WorkflowAnswer::Builder::adoptFailure(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Failure>&& value) {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::FAILURE);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void WorkflowJob::Builder::adoptLeft(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Failure> WorkflowAnswer::Builder::disownFailure() {
+  KJ_IREQUIRE((which() == WorkflowAnswer::FAILURE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> WorkflowJob::Builder::disownLeft() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline bool WorkflowAnswer::Reader::isNoSuchJob() const {
+  return which() == WorkflowAnswer::NO_SUCH_JOB;
+}
+inline bool WorkflowAnswer::Builder::isNoSuchJob() {
+  return which() == WorkflowAnswer::NO_SUCH_JOB;
+}
+inline  ::capnp::Void WorkflowAnswer::Reader::getNoSuchJob() const {
+  KJ_IREQUIRE((which() == WorkflowAnswer::NO_SUCH_JOB),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t WorkflowJob::Reader::getFailure() const {
+inline  ::capnp::Void WorkflowAnswer::Builder::getNoSuchJob() {
+  KJ_IREQUIRE((which() == WorkflowAnswer::NO_SUCH_JOB),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowAnswer::Builder::setNoSuchJob( ::capnp::Void value) {
+  _builder.setDataField<WorkflowAnswer::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::NO_SUCH_JOB);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t WorkflowAnswer::Reader::getJobFailure() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t WorkflowJob::Builder::getFailure() {
+inline  ::uint8_t WorkflowAnswer::Builder::getJobFailure() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowJob::Builder::setFailure( ::uint8_t value) {
+inline void WorkflowAnswer::Builder::setJobFailure( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowImage::Reader::hasCatalog() const {
+inline  ::uint64_t WorkflowAnswer::Catalog::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkflowAnswer::Catalog::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowAnswer::Catalog::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowAnswer::Catalog::Reader::hasDocument() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowImage::Builder::hasCatalog() {
+inline bool WorkflowAnswer::Catalog::Builder::hasDocument() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::Catalog::Reader WorkflowImage::Reader::getCatalog() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader WorkflowAnswer::Catalog::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowImage::Builder::getCatalog() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder WorkflowAnswer::Catalog::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::Catalog::Pipeline WorkflowImage::Pipeline::getCatalog() {
-  return  ::mangoplank::wire::schema::Catalog::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void WorkflowImage::Builder::setCatalog( ::mangoplank::wire::schema::Catalog::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::set(_builder.getPointerField(
+inline void WorkflowAnswer::Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowImage::Builder::initCatalog() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder WorkflowAnswer::Catalog::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowImage::Builder::adoptCatalog(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Catalog>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::adopt(_builder.getPointerField(
+inline void WorkflowAnswer::Catalog::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Catalog> WorkflowImage::Builder::disownCatalog() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> WorkflowAnswer::Catalog::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowImage::Reader::hasJobs() const {
+inline bool EligibleWorker::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowImage::Builder::hasJobs() {
+inline bool EligibleWorker::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Reader WorkflowImage::Reader::getJobs() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader EligibleWorker::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::getJobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EligibleWorker::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowImage::Builder::setJobs( ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void EligibleWorker::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::initJobs(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder EligibleWorker::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowImage::Builder::adoptJobs(
-    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void EligibleWorker::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>> WorkflowImage::Builder::disownJobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkflowJob,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> EligibleWorker::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowImage::Reader::hasWorkers() const {
+inline bool EligibleWorker::Reader::hasTicket() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowImage::Builder::hasWorkers() {
+inline bool EligibleWorker::Builder::hasTicket() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Reader WorkflowImage::Reader::getWorkers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader EligibleWorker::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::getWorkers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EligibleWorker::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowImage::Builder::setWorkers( ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void EligibleWorker::Builder::setTicket( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>::Builder WorkflowImage::Builder::initWorkers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder EligibleWorker::Builder::initTicket(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowImage::Builder::adoptWorkers(
-    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void EligibleWorker::Builder::adoptTicket(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>> WorkflowImage::Builder::disownWorkers() {
