-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::WorkerSpec,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> EligibleWorker::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool JobAddress::Reader::hasHost() const {
+inline bool RunningRun::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobAddress::Builder::hasHost() {
+inline bool RunningRun::Builder::hasRun() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobAddress::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::RunId::Reader RunningRun::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobAddress::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::RunId::Builder RunningRun::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobAddress::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::RunId::Pipeline RunningRun::Pipeline::getRun() {
+  return  ::mangoplank::wire::schema::RunId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RunningRun::Builder::setRun( ::mangoplank::wire::schema::RunId::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobAddress::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::mangoplank::wire::schema::RunId::Builder RunningRun::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobAddress::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RunningRun::Builder::adoptRun(
+    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobAddress::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> RunningRun::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool JobAddress::Reader::hasPath() const {
+inline bool RunningRun::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobAddress::Builder::hasPath() {
+inline bool RunningRun::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobAddress::Reader::getPath() const {
+inline  ::capnp::Text::Reader RunningRun::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobAddress::Builder::getPath() {
+inline  ::capnp::Text::Builder RunningRun::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void JobAddress::Builder::setPath( ::capnp::Text::Reader value) {
+inline void RunningRun::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobAddress::Builder::initPath(unsigned int size) {
+inline  ::capnp::Text::Builder RunningRun::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void JobAddress::Builder::adoptPath(
+inline void RunningRun::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobAddress::Builder::disownPath() {
+inline ::capnp::Orphan< ::capnp::Text> RunningRun::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::mangoplank::wire::schema::WorkflowRequest::Which WorkflowRequest::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int32_t RunningRun::Reader::getPercent() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::mangoplank::wire::schema::WorkflowRequest::Which WorkflowRequest::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+
+inline  ::int32_t RunningRun::Builder::getPercent() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunningRun::Builder::setPercent( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t WorkflowRequest::Reader::getId() const {
+inline  ::uint64_t EndedRun::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t WorkflowRequest::Builder::getId() {
+inline  ::uint64_t EndedRun::Builder::getNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowRequest::Builder::setId( ::uint64_t value) {
+inline void EndedRun::Builder::setNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowRequest::Reader::isSubmit() const {
-  return which() == WorkflowRequest::SUBMIT;
-}
-inline bool WorkflowRequest::Builder::isSubmit() {
-  return which() == WorkflowRequest::SUBMIT;
-}
-inline typename WorkflowRequest::Submit::Reader WorkflowRequest::Reader::getSubmit() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::SUBMIT),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowRequest::Submit::Reader(_reader);
-}
-inline typename WorkflowRequest::Submit::Builder WorkflowRequest::Builder::getSubmit() {
-  KJ_IREQUIRE((which() == WorkflowRequest::SUBMIT),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowRequest::Submit::Builder(_builder);
-}
-inline typename WorkflowRequest::Submit::Builder WorkflowRequest::Builder::initSubmit() {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::SUBMIT);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename WorkflowRequest::Submit::Builder(_builder);
-}
-inline bool WorkflowRequest::Reader::isGet() const {
-  return which() == WorkflowRequest::GET;
-}
-inline bool WorkflowRequest::Builder::isGet() {
-  return which() == WorkflowRequest::GET;
-}
-inline bool WorkflowRequest::Reader::hasGet() const {
-  if (which() != WorkflowRequest::GET) return false;
+inline bool EndedRun::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::Builder::hasGet() {
-  if (which() != WorkflowRequest::GET) return false;
+inline bool EndedRun::Builder::hasRun() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getGet() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::GET),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
+inline  ::mangoplank::wire::schema::RunId::Reader EndedRun::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getGet() {
-  KJ_IREQUIRE((which() == WorkflowRequest::GET),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::RunId::Builder EndedRun::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setGet( ::mangoplank::wire::schema::JobAddress::Reader value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::RunId::Pipeline EndedRun::Pipeline::getRun() {
+  return  ::mangoplank::wire::schema::RunId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EndedRun::Builder::setRun( ::mangoplank::wire::schema::RunId::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initGet() {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
+inline  ::mangoplank::wire::schema::RunId::Builder EndedRun::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::adoptGet(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
+inline void EndedRun::Builder::adoptRun(
+    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownGet() {
-  KJ_IREQUIRE((which() == WorkflowRequest::GET),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> EndedRun::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::Reader::isCancel() const {
-  return which() == WorkflowRequest::CANCEL;
+inline  ::uint8_t EndedRun::Reader::getHow() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowRequest::Builder::isCancel() {
-  return which() == WorkflowRequest::CANCEL;
+
+inline  ::uint8_t EndedRun::Builder::getHow() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowRequest::Reader::hasCancel() const {
-  if (which() != WorkflowRequest::CANCEL) return false;
+inline void EndedRun::Builder::setHow( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndedRun::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::Builder::hasCancel() {
-  if (which() != WorkflowRequest::CANCEL) return false;
+inline bool EndedRun::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getCancel() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader EndedRun::Reader::getCheckpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getCancel() {
-  KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EndedRun::Builder::getCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setCancel( ::mangoplank::wire::schema::JobAddress::Reader value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EndedRun::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initCancel() {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EndedRun::Builder::initCheckpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowRequest::Builder::adoptCancel(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndedRun::Builder::adoptCheckpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownCancel() {
-  KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> EndedRun::Builder::disownCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::Reader::isAnnounce() const {
-  return which() == WorkflowRequest::ANNOUNCE;
-}
-inline bool WorkflowRequest::Builder::isAnnounce() {
-  return which() == WorkflowRequest::ANNOUNCE;
-}
-inline typename WorkflowRequest::Announce::Reader WorkflowRequest::Reader::getAnnounce() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::ANNOUNCE),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowRequest::Announce::Reader(_reader);
+inline  ::mangoplank::wire::schema::OrderRequest::Which OrderRequest::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
-inline typename WorkflowRequest::Announce::Builder WorkflowRequest::Builder::getAnnounce() {
-  KJ_IREQUIRE((which() == WorkflowRequest::ANNOUNCE),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowRequest::Announce::Builder(_builder);
+inline  ::mangoplank::wire::schema::OrderRequest::Which OrderRequest::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
-inline typename WorkflowRequest::Announce::Builder WorkflowRequest::Builder::initAnnounce() {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::ANNOUNCE);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename WorkflowRequest::Announce::Builder(_builder);
+
+inline  ::uint64_t OrderRequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowRequest::Reader::isRemoveWorker() const {
-  return which() == WorkflowRequest::REMOVE_WORKER;
+
+inline  ::uint64_t OrderRequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowRequest::Builder::isRemoveWorker() {
-  return which() == WorkflowRequest::REMOVE_WORKER;
+inline void OrderRequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline bool WorkflowRequest::Reader::hasRemoveWorker() const {
-  if (which() != WorkflowRequest::REMOVE_WORKER) return false;
+
+inline bool OrderRequest::Reader::hasWorker() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::Builder::hasRemoveWorker() {
-  if (which() != WorkflowRequest::REMOVE_WORKER) return false;
+inline bool OrderRequest::Builder::hasWorker() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Reader WorkflowRequest::Reader::getRemoveWorker() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::REMOVE_WORKER),
-              "Must check which() before get()ing a union member.");
+inline  ::mangoplank::wire::schema::WorkerKey::Reader OrderRequest::Reader::getWorker() const {
   return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowRequest::Builder::getRemoveWorker() {
-  KJ_IREQUIRE((which() == WorkflowRequest::REMOVE_WORKER),
-              "Must check which() before get()ing a union member.");
+inline  ::mangoplank::wire::schema::WorkerKey::Builder OrderRequest::Builder::getWorker() {
   return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setRemoveWorker( ::mangoplank::wire::schema::WorkerKey::Reader value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::REMOVE_WORKER);
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::WorkerKey::Pipeline OrderRequest::Pipeline::getWorker() {
+  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void OrderRequest::Builder::setWorker( ::mangoplank::wire::schema::WorkerKey::Reader value) {
   ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkerKey::Builder WorkflowRequest::Builder::initRemoveWorker() {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::REMOVE_WORKER);
+inline  ::mangoplank::wire::schema::WorkerKey::Builder OrderRequest::Builder::initWorker() {
   return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::adoptRemoveWorker(
+inline void OrderRequest::Builder::adoptWorker(
     ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::REMOVE_WORKER);
   ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> WorkflowRequest::Builder::disownRemoveWorker() {
-  KJ_IREQUIRE((which() == WorkflowRequest::REMOVE_WORKER),
-              "Must check which() before get()ing a union member.");
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> OrderRequest::Builder::disownWorker() {
   return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::Reader::isDeclare() const {
-  return which() == WorkflowRequest::DECLARE;
-}
-inline bool WorkflowRequest::Builder::isDeclare() {
-  return which() == WorkflowRequest::DECLARE;
-}
-inline bool WorkflowRequest::Reader::hasDeclare() const {
-  if (which() != WorkflowRequest::DECLARE) return false;
+inline bool OrderRequest::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::Builder::hasDeclare() {
-  if (which() != WorkflowRequest::DECLARE) return false;
+inline bool OrderRequest::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::Catalog::Reader WorkflowRequest::Reader::getDeclare() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::DECLARE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::Endpoint::Reader OrderRequest::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowRequest::Builder::getDeclare() {
-  KJ_IREQUIRE((which() == WorkflowRequest::DECLARE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::Endpoint::Builder OrderRequest::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setDeclare( ::mangoplank::wire::schema::Catalog::Reader value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::DECLARE);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::Endpoint::Pipeline OrderRequest::Pipeline::getAddress() {
+  return  ::mangoplank::wire::schema::Endpoint::Pipeline(_typeless.getPointerField(1));
 }
-inline  ::mangoplank::wire::schema::Catalog::Builder WorkflowRequest::Builder::initDeclare() {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::DECLARE);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void OrderRequest::Builder::setAddress( ::mangoplank::wire::schema::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void WorkflowRequest::Builder::adoptDeclare(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Catalog>&& value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::DECLARE);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::mangoplank::wire::schema::Endpoint::Builder OrderRequest::Builder::initAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Catalog> WorkflowRequest::Builder::disownDeclare() {
-  KJ_IREQUIRE((which() == WorkflowRequest::DECLARE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Catalog>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void OrderRequest::Builder::adoptAddress(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint> OrderRequest::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::Reader::isReadCatalog() const {
-  return which() == WorkflowRequest::READ_CATALOG;
+inline  ::int64_t OrderRequest::Reader::getTimeoutMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowRequest::Builder::isReadCatalog() {
-  return which() == WorkflowRequest::READ_CATALOG;
+
+inline  ::int64_t OrderRequest::Builder::getTimeoutMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Void WorkflowRequest::Reader::getReadCatalog() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::READ_CATALOG),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void OrderRequest::Builder::setTimeoutMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::capnp::Void WorkflowRequest::Builder::getReadCatalog() {
-  KJ_IREQUIRE((which() == WorkflowRequest::READ_CATALOG),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t OrderRequest::Reader::getSentAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowRequest::Builder::setReadCatalog( ::capnp::Void value) {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::READ_CATALOG);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+
+inline  ::int64_t OrderRequest::Builder::getSentAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void OrderRequest::Builder::setSentAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowRequest::Reader::isJoinMembers() const {
-  return which() == WorkflowRequest::JOIN_MEMBERS;
+inline  ::uint64_t OrderRequest::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowRequest::Builder::isJoinMembers() {
-  return which() == WorkflowRequest::JOIN_MEMBERS;
+
+inline  ::uint64_t OrderRequest::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline typename WorkflowRequest::JoinMembers::Reader WorkflowRequest::Reader::getJoinMembers() const {
-  KJ_IREQUIRE((which() == WorkflowRequest::JOIN_MEMBERS),
+inline void OrderRequest::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrderRequest::Reader::isStart() const {
+  return which() == OrderRequest::START;
+}
+inline bool OrderRequest::Builder::isStart() {
+  return which() == OrderRequest::START;
+}
+inline typename OrderRequest::Start::Reader OrderRequest::Reader::getStart() const {
+  KJ_IREQUIRE((which() == OrderRequest::START),
               "Must check which() before get()ing a union member.");
-  return typename WorkflowRequest::JoinMembers::Reader(_reader);
+  return typename OrderRequest::Start::Reader(_reader);
 }
-inline typename WorkflowRequest::JoinMembers::Builder WorkflowRequest::Builder::getJoinMembers() {
-  KJ_IREQUIRE((which() == WorkflowRequest::JOIN_MEMBERS),
+inline typename OrderRequest::Start::Builder OrderRequest::Builder::getStart() {
+  KJ_IREQUIRE((which() == OrderRequest::START),
               "Must check which() before get()ing a union member.");
-  return typename WorkflowRequest::JoinMembers::Builder(_builder);
+  return typename OrderRequest::Start::Builder(_builder);
 }
-inline typename WorkflowRequest::JoinMembers::Builder WorkflowRequest::Builder::initJoinMembers() {
-  _builder.setDataField<WorkflowRequest::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::JOIN_MEMBERS);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename WorkflowRequest::JoinMembers::Builder(_builder);
+inline typename OrderRequest::Start::Builder OrderRequest::Builder::initStart() {
+  _builder.setDataField<OrderRequest::Which>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, OrderRequest::START);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).clear();
+  return typename OrderRequest::Start::Builder(_builder);
 }
-inline bool WorkflowRequest::Submit::Reader::hasTo() const {
+inline bool OrderRequest::Reader::isStop() const {
+  return which() == OrderRequest::STOP;
+}
+inline bool OrderRequest::Builder::isStop() {
+  return which() == OrderRequest::STOP;
+}
+inline bool OrderRequest::Reader::hasStop() const {
+  if (which() != OrderRequest::STOP) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::Submit::Builder::hasTo() {
+inline bool OrderRequest::Builder::hasStop() {
+  if (which() != OrderRequest::STOP) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Submit::Reader::getTo() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Submit::Builder::getTo() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Reader OrderRequest::Reader::getStop() const {
+  KJ_IREQUIRE((which() == OrderRequest::STOP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::JobAddress::Pipeline WorkflowRequest::Submit::Pipeline::getTo() {
-  return  ::mangoplank::wire::schema::JobAddress::Pipeline(_typeless.getPointerField(0));
+inline  ::mangoplank::wire::schema::RunId::Builder OrderRequest::Builder::getStop() {
+  KJ_IREQUIRE((which() == OrderRequest::STOP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void WorkflowRequest::Submit::Builder::setTo( ::mangoplank::wire::schema::JobAddress::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void OrderRequest::Builder::setStop( ::mangoplank::wire::schema::RunId::Reader value) {
+  _builder.setDataField<OrderRequest::Which>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, OrderRequest::STOP);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Submit::Builder::initTo() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Builder OrderRequest::Builder::initStop() {
+  _builder.setDataField<OrderRequest::Which>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, OrderRequest::STOP);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Submit::Builder::adoptTo(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void OrderRequest::Builder::adoptStop(
+    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
+  _builder.setDataField<OrderRequest::Which>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, OrderRequest::STOP);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Submit::Builder::disownTo() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> OrderRequest::Builder::disownStop() {
+  KJ_IREQUIRE((which() == OrderRequest::STOP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::Submit::Reader::hasSpec() const {
+inline bool OrderRequest::Reader::isPoll() const {
+  return which() == OrderRequest::POLL;
+}
+inline bool OrderRequest::Builder::isPoll() {
+  return which() == OrderRequest::POLL;
+}
+inline typename OrderRequest::Poll::Reader OrderRequest::Reader::getPoll() const {
+  KJ_IREQUIRE((which() == OrderRequest::POLL),
+              "Must check which() before get()ing a union member.");
+  return typename OrderRequest::Poll::Reader(_reader);
+}
+inline typename OrderRequest::Poll::Builder OrderRequest::Builder::getPoll() {
+  KJ_IREQUIRE((which() == OrderRequest::POLL),
+              "Must check which() before get()ing a union member.");
+  return typename OrderRequest::Poll::Builder(_builder);
+}
+inline typename OrderRequest::Poll::Builder OrderRequest::Builder::initPoll() {
+  _builder.setDataField<OrderRequest::Which>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, OrderRequest::POLL);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<336>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 0);
+  return typename OrderRequest::Poll::Builder(_builder);
+}
+inline bool OrderRequest::Start::Reader::hasRun() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::Submit::Builder::hasSpec() {
+inline bool OrderRequest::Start::Builder::hasRun() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobSpec::Reader WorkflowRequest::Submit::Reader::getSpec() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Reader OrderRequest::Start::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowRequest::Submit::Builder::getSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Builder OrderRequest::Start::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::JobSpec::Pipeline WorkflowRequest::Submit::Pipeline::getSpec() {
-  return  ::mangoplank::wire::schema::JobSpec::Pipeline(_typeless.getPointerField(1));
+inline  ::mangoplank::wire::schema::RunId::Pipeline OrderRequest::Start::Pipeline::getRun() {
+  return  ::mangoplank::wire::schema::RunId::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void WorkflowRequest::Submit::Builder::setSpec( ::mangoplank::wire::schema::JobSpec::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void OrderRequest::Start::Builder::setRun( ::mangoplank::wire::schema::RunId::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobSpec::Builder WorkflowRequest::Submit::Builder::initSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::mangoplank::wire::schema::RunId::Builder OrderRequest::Start::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Submit::Builder::adoptSpec(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void OrderRequest::Start::Builder::adoptRun(
+    ::capnp::Orphan< ::mangoplank::wire::schema::RunId>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> WorkflowRequest::Submit::Builder::disownSpec() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobSpec>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::mangoplank::wire::schema::RunId> OrderRequest::Start::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::RunId>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::Announce::Reader::hasWorker() const {
+inline bool OrderRequest::Start::Reader::hasPayload() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::Announce::Builder::hasWorker() {
+inline bool OrderRequest::Start::Builder::hasPayload() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::mangoplank::wire::schema::WorkerSpec::Reader WorkflowRequest::Announce::Reader::getWorker() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowRequest::Announce::Builder::getWorker() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader OrderRequest::Start::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::WorkerSpec::Pipeline WorkflowRequest::Announce::Pipeline::getWorker() {
-  return  ::mangoplank::wire::schema::WorkerSpec::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Data::Builder OrderRequest::Start::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void WorkflowRequest::Announce::Builder::setWorker( ::mangoplank::wire::schema::WorkerSpec::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void OrderRequest::Start::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::WorkerSpec::Builder WorkflowRequest::Announce::Builder::initWorker() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder OrderRequest::Start::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowRequest::Announce::Builder::adoptWorker(
-    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void OrderRequest::Start::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerSpec> WorkflowRequest::Announce::Builder::disownWorker() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerSpec>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> OrderRequest::Start::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t WorkflowRequest::Announce::Reader::getClockMs() const {
+inline  ::int64_t OrderRequest::Start::Reader::getLeaseUntilMs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t WorkflowRequest::Announce::Builder::getClockMs() {
+inline  ::int64_t OrderRequest::Start::Builder::getLeaseUntilMs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowRequest::Announce::Builder::setClockMs( ::int64_t value) {
+inline void OrderRequest::Start::Builder::setLeaseUntilMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowRequest::JoinMembers::Reader::hasId() const {
+inline bool OrderRequest::Start::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::JoinMembers::Builder::hasId() {
+inline bool OrderRequest::Start::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WorkflowRequest::JoinMembers::Reader::getId() const {
+inline  ::capnp::Text::Reader OrderRequest::Start::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WorkflowRequest::JoinMembers::Builder::getId() {
+inline  ::capnp::Text::Builder OrderRequest::Start::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::JoinMembers::Builder::setId( ::capnp::Text::Reader value) {
+inline void OrderRequest::Start::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WorkflowRequest::JoinMembers::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder OrderRequest::Start::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void WorkflowRequest::JoinMembers::Builder::adoptId(
+inline void OrderRequest::Start::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> WorkflowRequest::JoinMembers::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> OrderRequest::Start::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::JoinMembers::Reader::hasAddress() const {
+inline bool OrderRequest::Start::Reader::hasTicket() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool WorkflowRequest::JoinMembers::Builder::hasAddress() {
+inline bool OrderRequest::Start::Builder::hasTicket() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::mangoplank::wire::schema::Endpoint::Reader WorkflowRequest::JoinMembers::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::mangoplank::wire::schema::Endpoint::Builder WorkflowRequest::JoinMembers::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::Endpoint::Pipeline WorkflowRequest::JoinMembers::Pipeline::getAddress() {
-  return  ::mangoplank::wire::schema::Endpoint::Pipeline(_typeless.getPointerField(1));
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-#endif  // !CAPNP_LITE
-inline void WorkflowRequest::JoinMembers::Builder::setAddress( ::mangoplank::wire::schema::Endpoint::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Reader OrderRequest::Start::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::Endpoint::Builder WorkflowRequest::JoinMembers::Builder::initAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder OrderRequest::Start::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::JoinMembers::Builder::adoptAddress(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void OrderRequest::Start::Builder::setTicket( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Endpoint> WorkflowRequest::JoinMembers::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Endpoint>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder OrderRequest::Start::Builder::initTicket(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-
-inline  ::mangoplank::wire::schema::WorkflowAnswer::Which WorkflowAnswer::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void OrderRequest::Start::Builder::adoptTicket(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::mangoplank::wire::schema::WorkflowAnswer::Which WorkflowAnswer::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::Text> OrderRequest::Start::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t WorkflowAnswer::Reader::getId() const {
+inline  ::uint64_t OrderRequest::Poll::Reader::getRecordedEnds() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t WorkflowAnswer::Builder::getId() {
+inline  ::uint64_t OrderRequest::Poll::Builder::getRecordedEnds() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Builder::setId( ::uint64_t value) {
+inline void OrderRequest::Poll::Builder::setRecordedEnds( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowAnswer::Reader::isAccepted() const {
-  return which() == WorkflowAnswer::ACCEPTED;
+inline bool OrderRequest::Poll::Reader::getRenewsLease() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<336>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowAnswer::Builder::isAccepted() {
-  return which() == WorkflowAnswer::ACCEPTED;
+
+inline bool OrderRequest::Poll::Builder::getRenewsLease() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<336>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Void WorkflowAnswer::Reader::getAccepted() const {
-  KJ_IREQUIRE((which() == WorkflowAnswer::ACCEPTED),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void OrderRequest::Poll::Builder::setRenewsLease(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<336>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::capnp::Void WorkflowAnswer::Builder::getAccepted() {
-  KJ_IREQUIRE((which() == WorkflowAnswer::ACCEPTED),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void WorkflowAnswer::Builder::setAccepted( ::capnp::Void value) {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::ACCEPTED);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::int64_t OrderRequest::Poll::Reader::getRenewedUntilMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline bool WorkflowAnswer::Reader::isJob() const {
-  return which() == WorkflowAnswer::JOB;
+inline  ::int64_t OrderRequest::Poll::Builder::getRenewedUntilMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowAnswer::Builder::isJob() {
-  return which() == WorkflowAnswer::JOB;
+inline void OrderRequest::Poll::Builder::setRenewedUntilMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
-inline  ::uint8_t WorkflowAnswer::Reader::getJob() const {
-  KJ_IREQUIRE((which() == WorkflowAnswer::JOB),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+
+inline  ::int64_t OrderRequest::Poll::Reader::getWaitMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t WorkflowAnswer::Builder::getJob() {
-  KJ_IREQUIRE((which() == WorkflowAnswer::JOB),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline  ::int64_t OrderRequest::Poll::Builder::getWaitMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Builder::setJob( ::uint8_t value) {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::JOB);
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline void OrderRequest::Poll::Builder::setWaitMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowAnswer::Reader::isQueued() const {
-  return which() == WorkflowAnswer::QUEUED;
+inline  ::mangoplank::wire::schema::OrderReply::Which OrderReply::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowAnswer::Builder::isQueued() {
-  return which() == WorkflowAnswer::QUEUED;
+inline  ::mangoplank::wire::schema::OrderReply::Which OrderReply::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline  ::uint64_t WorkflowAnswer::Reader::getQueued() const {
-  KJ_IREQUIRE((which() == WorkflowAnswer::QUEUED),
-              "Must check which() before get()ing a union member.");
+
+inline  ::uint64_t OrderReply::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t WorkflowAnswer::Builder::getQueued() {
-  KJ_IREQUIRE((which() == WorkflowAnswer::QUEUED),
-              "Must check which() before get()ing a union member.");
+inline  ::uint64_t OrderReply::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Builder::setQueued( ::uint64_t value) {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::QUEUED);
+inline void OrderReply::Builder::setId( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowAnswer::Reader::isCatalog() const {
-  return which() == WorkflowAnswer::CATALOG;
-}
-inline bool WorkflowAnswer::Builder::isCatalog() {
-  return which() == WorkflowAnswer::CATALOG;
-}
-inline typename WorkflowAnswer::Catalog::Reader WorkflowAnswer::Reader::getCatalog() const {
-  KJ_IREQUIRE((which() == WorkflowAnswer::CATALOG),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowAnswer::Catalog::Reader(_reader);
+inline bool OrderReply::Reader::isDone() const {
+  return which() == OrderReply::DONE;
 }
-inline typename WorkflowAnswer::Catalog::Builder WorkflowAnswer::Builder::getCatalog() {
-  KJ_IREQUIRE((which() == WorkflowAnswer::CATALOG),
-              "Must check which() before get()ing a union member.");
-  return typename WorkflowAnswer::Catalog::Builder(_builder);
-}
-inline typename WorkflowAnswer::Catalog::Builder WorkflowAnswer::Builder::initCatalog() {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::CATALOG);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename WorkflowAnswer::Catalog::Builder(_builder);
-}
-inline bool WorkflowAnswer::Reader::isFailure() const {
-  return which() == WorkflowAnswer::FAILURE;
-}
-inline bool WorkflowAnswer::Builder::isFailure() {
-  return which() == WorkflowAnswer::FAILURE;
-}
-inline bool WorkflowAnswer::Reader::hasFailure() const {
-  if (which() != WorkflowAnswer::FAILURE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool WorkflowAnswer::Builder::hasFailure() {
-  if (which() != WorkflowAnswer::FAILURE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool OrderReply::Builder::isDone() {
+  return which() == OrderReply::DONE;
 }
-inline  ::mangoplank::wire::schema::Failure::Reader WorkflowAnswer::Reader::getFailure() const {
-  KJ_IREQUIRE((which() == WorkflowAnswer::FAILURE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::int64_t OrderReply::Reader::getDone() const {
+  KJ_IREQUIRE((which() == OrderReply::DONE),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::mangoplank::wire::schema::Failure::Builder WorkflowAnswer::Builder::getFailure() {
-  KJ_IREQUIRE((which() == WorkflowAnswer::FAILURE),
+
+inline  ::int64_t OrderReply::Builder::getDone() {
+  KJ_IREQUIRE((which() == OrderReply::DONE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Builder::setFailure( ::mangoplank::wire::schema::Failure::Reader value) {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::FAILURE);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void OrderReply::Builder::setDone( ::int64_t value) {
+  _builder.setDataField<OrderReply::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, OrderReply::DONE);
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::mangoplank::wire::schema::Failure::Builder WorkflowAnswer::Builder::initFailure() {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::FAILURE);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool OrderReply::Reader::isRefused() const {
+  return which() == OrderReply::REFUSED;
 }
-inline void WorkflowAnswer::Builder::adoptFailure(
-    ::capnp::Orphan< ::mangoplank::wire::schema::Failure>&& value) {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::FAILURE);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline bool OrderReply::Builder::isRefused() {
+  return which() == OrderReply::REFUSED;
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::Failure> WorkflowAnswer::Builder::disownFailure() {
-  KJ_IREQUIRE((which() == WorkflowAnswer::FAILURE),
+inline  ::uint8_t OrderReply::Reader::getRefused() const {
+  KJ_IREQUIRE((which() == OrderReply::REFUSED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Failure>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool WorkflowAnswer::Reader::isNoSuchJob() const {
-  return which() == WorkflowAnswer::NO_SUCH_JOB;
+inline  ::uint8_t OrderReply::Builder::getRefused() {
+  KJ_IREQUIRE((which() == OrderReply::REFUSED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline bool WorkflowAnswer::Builder::isNoSuchJob() {
-  return which() == WorkflowAnswer::NO_SUCH_JOB;
+inline void OrderReply::Builder::setRefused( ::uint8_t value) {
+  _builder.setDataField<OrderReply::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, OrderReply::REFUSED);
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Void WorkflowAnswer::Reader::getNoSuchJob() const {
-  KJ_IREQUIRE((which() == WorkflowAnswer::NO_SUCH_JOB),
+
+inline bool OrderReply::Reader::isOtherIncarnation() const {
+  return which() == OrderReply::OTHER_INCARNATION;
+}
+inline bool OrderReply::Builder::isOtherIncarnation() {
+  return which() == OrderReply::OTHER_INCARNATION;
+}
+inline  ::capnp::Void OrderReply::Reader::getOtherIncarnation() const {
+  KJ_IREQUIRE((which() == OrderReply::OTHER_INCARNATION),
               "Must check which() before get()ing a union member.");
   return _reader.getDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void WorkflowAnswer::Builder::getNoSuchJob() {
-  KJ_IREQUIRE((which() == WorkflowAnswer::NO_SUCH_JOB),
+inline  ::capnp::Void OrderReply::Builder::getOtherIncarnation() {
+  KJ_IREQUIRE((which() == OrderReply::OTHER_INCARNATION),
               "Must check which() before get()ing a union member.");
   return _builder.getDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Builder::setNoSuchJob( ::capnp::Void value) {
-  _builder.setDataField<WorkflowAnswer::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowAnswer::NO_SUCH_JOB);
+inline void OrderReply::Builder::setOtherIncarnation( ::capnp::Void value) {
+  _builder.setDataField<OrderReply::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, OrderReply::OTHER_INCARNATION);
   _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t WorkflowAnswer::Reader::getJobFailure() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline bool OrderReply::Reader::isNoAnswer() const {
+  return which() == OrderReply::NO_ANSWER;
+}
+inline bool OrderReply::Builder::isNoAnswer() {
+  return which() == OrderReply::NO_ANSWER;
+}
+inline  ::capnp::Void OrderReply::Reader::getNoAnswer() const {
+  KJ_IREQUIRE((which() == OrderReply::NO_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t WorkflowAnswer::Builder::getJobFailure() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline  ::capnp::Void OrderReply::Builder::getNoAnswer() {
+  KJ_IREQUIRE((which() == OrderReply::NO_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Builder::setJobFailure( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+inline void OrderReply::Builder::setNoAnswer( ::capnp::Void value) {
+  _builder.setDataField<OrderReply::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, OrderReply::NO_ANSWER);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t WorkflowAnswer::Catalog::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool OrderReply::Reader::isNotSent() const {
+  return which() == OrderReply::NOT_SENT;
+}
+inline bool OrderReply::Builder::isNotSent() {
+  return which() == OrderReply::NOT_SENT;
+}
+inline  ::capnp::Void OrderReply::Reader::getNotSent() const {
+  KJ_IREQUIRE((which() == OrderReply::NOT_SENT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t WorkflowAnswer::Catalog::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Void OrderReply::Builder::getNotSent() {
+  KJ_IREQUIRE((which() == OrderReply::NOT_SENT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Catalog::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void OrderReply::Builder::setNotSent( ::capnp::Void value) {
+  _builder.setDataField<OrderReply::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, OrderReply::NOT_SENT);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WorkflowAnswer::Catalog::Reader::hasDocument() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool OrderReply::Reader::isReport() const {
+  return which() == OrderReply::REPORT;
 }
-inline bool WorkflowAnswer::Catalog::Builder::hasDocument() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool OrderReply::Builder::isReport() {
+  return which() == OrderReply::REPORT;
 }
-inline  ::capnp::Data::Reader WorkflowAnswer::Catalog::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline typename OrderReply::Report::Reader OrderReply::Reader::getReport() const {
+  KJ_IREQUIRE((which() == OrderReply::REPORT),
+              "Must check which() before get()ing a union member.");
+  return typename OrderReply::Report::Reader(_reader);
 }
-inline  ::capnp::Data::Builder WorkflowAnswer::Catalog::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline typename OrderReply::Report::Builder OrderReply::Builder::getReport() {
+  KJ_IREQUIRE((which() == OrderReply::REPORT),
+              "Must check which() before get()ing a union member.");
+  return typename OrderReply::Report::Builder(_builder);
 }
-inline void WorkflowAnswer::Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline typename OrderReply::Report::Builder OrderReply::Builder::initReport() {
+  _builder.setDataField<OrderReply::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, OrderReply::REPORT);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<144>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename OrderReply::Report::Builder(_builder);
 }
-inline  ::capnp::Data::Builder WorkflowAnswer::Catalog::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::int64_t OrderReply::Report::Reader::getClockMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void WorkflowAnswer::Catalog::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t OrderReply::Report::Builder::getClockMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> WorkflowAnswer::Catalog::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void OrderReply::Report::Builder::setClockMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EligibleWorker::Reader::hasId() const {
+inline bool OrderReply::Report::Reader::hasRunning() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EligibleWorker::Builder::hasId() {
+inline bool OrderReply::Report::Builder::hasRunning() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EligibleWorker::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Reader OrderReply::Report::Reader::getRunning() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EligibleWorker::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Builder OrderReply::Report::Builder::getRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EligibleWorker::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void OrderReply::Report::Builder::setRunning( ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EligibleWorker::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>::Builder OrderReply::Report::Builder::initRunning(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EligibleWorker::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void OrderReply::Report::Builder::adoptRunning(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EligibleWorker::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>> OrderReply::Report::Builder::disownRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::RunningRun,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EligibleWorker::Reader::hasTicket() const {
+inline bool OrderReply::Report::Reader::hasEnded() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EligibleWorker::Builder::hasTicket() {
+inline bool OrderReply::Report::Builder::hasEnded() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EligibleWorker::Reader::getTicket() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Reader OrderReply::Report::Reader::getEnded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EligibleWorker::Builder::getTicket() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Builder OrderReply::Report::Builder::getEnded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EligibleWorker::Builder::setTicket( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void OrderReply::Report::Builder::setEnded( ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EligibleWorker::Builder::initTicket(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>::Builder OrderReply::Report::Builder::initEnded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EligibleWorker::Builder::adoptTicket(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void OrderReply::Report::Builder::adoptEnded(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EligibleWorker::Builder::disownTicket() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>> OrderReply::Report::Builder::disownEnded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::EndedRun,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool OrderReply::Report::Reader::getNamesIncarnation() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+
+inline bool OrderReply::Report::Builder::getNamesIncarnation() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+inline void OrderReply::Report::Builder::setNamesIncarnation(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::mangoplank::wire::schema::WorkflowMessage::Which WorkflowMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -7321,7 +9180,9 @@
   _builder.setDataField<WorkflowMessage::Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::HELLO);
   _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename WorkflowMessage::Hello::Builder(_builder);
 }
 inline bool WorkflowMessage::Reader::isRequest() const {
@@ -7528,6 +9389,114 @@
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename WorkflowMessage::MembersChanged::Builder(_builder);
 }
+inline bool WorkflowMessage::Reader::isOrderRequest() const {
+  return which() == WorkflowMessage::ORDER_REQUEST;
+}
+inline bool WorkflowMessage::Builder::isOrderRequest() {
+  return which() == WorkflowMessage::ORDER_REQUEST;
+}
+inline bool WorkflowMessage::Reader::hasOrderRequest() const {
+  if (which() != WorkflowMessage::ORDER_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowMessage::Builder::hasOrderRequest() {
+  if (which() != WorkflowMessage::ORDER_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::OrderRequest::Reader WorkflowMessage::Reader::getOrderRequest() const {
+  KJ_IREQUIRE((which() == WorkflowMessage::ORDER_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::OrderRequest::Builder WorkflowMessage::Builder::getOrderRequest() {
+  KJ_IREQUIRE((which() == WorkflowMessage::ORDER_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowMessage::Builder::setOrderRequest( ::mangoplank::wire::schema::OrderRequest::Reader value) {
+  _builder.setDataField<WorkflowMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::ORDER_REQUEST);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::OrderRequest::Builder WorkflowMessage::Builder::initOrderRequest() {
+  _builder.setDataField<WorkflowMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::ORDER_REQUEST);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowMessage::Builder::adoptOrderRequest(
+    ::capnp::Orphan< ::mangoplank::wire::schema::OrderRequest>&& value) {
+  _builder.setDataField<WorkflowMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::ORDER_REQUEST);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::OrderRequest> WorkflowMessage::Builder::disownOrderRequest() {
+  KJ_IREQUIRE((which() == WorkflowMessage::ORDER_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool WorkflowMessage::Reader::isOrderReply() const {
+  return which() == WorkflowMessage::ORDER_REPLY;
+}
+inline bool WorkflowMessage::Builder::isOrderReply() {
+  return which() == WorkflowMessage::ORDER_REPLY;
+}
+inline bool WorkflowMessage::Reader::hasOrderReply() const {
+  if (which() != WorkflowMessage::ORDER_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowMessage::Builder::hasOrderReply() {
+  if (which() != WorkflowMessage::ORDER_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::OrderReply::Reader WorkflowMessage::Reader::getOrderReply() const {
+  KJ_IREQUIRE((which() == WorkflowMessage::ORDER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::OrderReply::Builder WorkflowMessage::Builder::getOrderReply() {
+  KJ_IREQUIRE((which() == WorkflowMessage::ORDER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowMessage::Builder::setOrderReply( ::mangoplank::wire::schema::OrderReply::Reader value) {
+  _builder.setDataField<WorkflowMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::ORDER_REPLY);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::OrderReply::Builder WorkflowMessage::Builder::initOrderReply() {
+  _builder.setDataField<WorkflowMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::ORDER_REPLY);
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkflowMessage::Builder::adoptOrderReply(
+    ::capnp::Orphan< ::mangoplank::wire::schema::OrderReply>&& value) {
+  _builder.setDataField<WorkflowMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, WorkflowMessage::ORDER_REPLY);
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::OrderReply> WorkflowMessage::Builder::disownOrderReply() {
+  KJ_IREQUIRE((which() == WorkflowMessage::ORDER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::OrderReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool WorkflowMessage::Hello::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7576,6 +9545,54 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WorkflowMessage::Hello::Reader::getRelaysOrders() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowMessage::Hello::Builder::getRelaysOrders() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowMessage::Hello::Builder::setRelaysOrders(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowMessage::Hello::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowMessage::Hello::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkflowMessage::Hello::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkflowMessage::Hello::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WorkflowMessage::Hello::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkflowMessage::Hello::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowMessage::Hello::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkflowMessage::Hello::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t WorkflowMessage::AskEligibility::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
--- a/src/workflow/client.cpp
+++ b/src/workflow/client.cpp
@@ -8,7 +8,9 @@
 #include <map>
 #include <set>
 
+#include "mangoplank/core/task.h"
 #include "mangoplank/wire/codec.h"
+#include "workflow/delivery_delay.h"
 
 namespace mangoplank::workflow {
 
@@ -28,6 +30,9 @@
 constexpr core::milliseconds kReportInterval{1'000};
 /// Maximum number of member addresses kept in addition to the seeds.
 constexpr std::size_t kMaxMembers = 16;
+/// An order that was held up for longer is not sent: the leader may have
+/// decided otherwise, or have been replaced.
+constexpr core::milliseconds kMaxOrderAge{250};
 
 outcome<message> Decode(const std::string& frame, const std::string& peer) {
   return core::Capture([&] {
@@ -71,11 +76,11 @@
 
 struct client::impl : std::enable_shared_from_this<client::impl> {
   impl(client_settings client_settings, wire::connection_context client_context,
-       seed_source source, eligibility_checker checker)
+       seed_source source, client_duties client_duties)
       : settings(std::move(client_settings)),
         context(std::move(client_context)),
         read_seeds(std::move(source)),
-        check_eligibility(std::move(checker)),
+        duties(std::move(client_duties)),
         connected(context.executor, context.clock) {}
 
   awaitable<void> Run();
@@ -85,6 +90,8 @@
   awaitable<void> AnswerEligibilityRequest(
       std::shared_ptr<wire::connection> connection,
       eligibility_request request);
+  awaitable<void> RelayOrder(std::shared_ptr<wire::connection> connection,
+                             order_request request, core::milliseconds age);
   void RefreshSeeds();
   void LearnMembers(const member_list& reported, const core::member_id& from,
                     bool from_leader);
@@ -99,7 +106,7 @@
   client_settings settings;
   wire::connection_context context;
   seed_source read_seeds;
-  eligibility_checker check_eligibility;
+  client_duties duties;
   bool stopped = false;
   std::shared_ptr<wire::connection> connection;
   core::member_id leader;
@@ -168,8 +175,9 @@
       co_await wire::Connect(context, address, address.address, false);
   if (!connection) co_return connection.error();
   const auto opened = *connection;
-  opened->Send(wire::Encode(
-      message(hello{settings.name, static_cast<bool>(check_eligibility)})));
+  opened->Send(wire::Encode(message(
+      hello{settings.name, static_cast<bool>(duties.check_eligibility),
+            static_cast<bool>(duties.send_order), settings.data_centre})));
   const auto timer = context.clock.CallAt(
       context.clock.Now() + kHelloReplyTimeout, [opened] { opened->Close(); });
   const auto frame = co_await opened->Receive();
@@ -261,6 +269,7 @@
 
 awaitable<void> client::impl::ReadLoop(
     std::shared_ptr<wire::connection> connection) {
+  delivery_delay delay;
   while (!stopped) {
     const auto frame = co_await connection->Receive();
     if (!frame) co_return;
@@ -282,9 +291,14 @@
       LearnMembers(changed->members, leader, true);
     } else if (auto* const check =
                    std::get_if<eligibility_request>(&*message)) {
-      asio::co_spawn(context.executor,
-                     AnswerEligibilityRequest(connection, std::move(*check)),
-                     asio::detached);
+      core::SpawnTask(context.executor,
+                      AnswerEligibilityRequest(connection, std::move(*check)),
+                      "eligibility_check");
+    } else if (auto* const order = std::get_if<order_request>(&*message)) {
+      const auto age = delay.Note(order->sent_at_ms, context.clock.Now());
+      core::SpawnTask(context.executor,
+                      RelayOrder(connection, std::move(*order), age),
+                      "relayed_order");
     }
   }
 }
@@ -293,8 +307,8 @@
     std::shared_ptr<wire::connection> connection, eligibility_request request) {
   const auto self = shared_from_this();
   eligibility_reply reply{request.id, false, {}};
-  if (check_eligibility) {
-    auto eligible_workers = co_await check_eligibility(
+  if (duties.check_eligibility) {
+    auto eligible_workers = co_await duties.check_eligibility(
         std::move(request.step), std::move(request.workers));
     reply.known = eligible_workers.has_value();
     if (eligible_workers) reply.eligible = std::move(*eligible_workers);
@@ -302,12 +316,26 @@
   connection->Send(wire::Encode(message(std::move(reply))));
 }
 
+/// Sends an order to a worker for the leader. Each request gets a reply.
+awaitable<void> client::impl::RelayOrder(
+    std::shared_ptr<wire::connection> connection, order_request request,
+    core::milliseconds age) {
+  const auto self = shared_from_this();
+  order_reply reply{request.id, not_sent{}};
+  if (age > kMaxOrderAge) {
+    spdlog::info("order_outdated worker={} age_ms={}", request.worker.id.v,
+                 age.count());
+  } else if (duties.send_order) {
+    reply.answer = co_await duties.send_order(std::move(request));
+  }
+  connection->Send(wire::Encode(message(std::move(reply))));
+}
+
 client::client(client_settings settings,
                const wire::connection_context& context, seed_source seeds,
-               eligibility_checker check_eligibility)
+               client_duties duties)
     : impl_(std::make_shared<impl>(std::move(settings), context,
-                                   std::move(seeds),
-                                   std::move(check_eligibility))) {}
+                                   std::move(seeds), std::move(duties))) {}
 
 client::~client() {
   impl_->stopped = true;
--- a/src/workflow/client_test.cpp
+++ b/src/workflow/client_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -74,6 +75,8 @@
 /// report the members they are given, and close all connections when they stop.
 class members_test : public wire::loop_test {
  public:
+  static constexpr std::size_t kMaxClients = 300;
+
   struct control {
     std::unique_ptr<wire::listener> listener;
     std::vector<std::shared_ptr<wire::connection>> connections;
@@ -100,7 +103,8 @@
                 std::move(members)};
     c->listener = std::make_unique<wire::listener>(
         Context(),
-        [c](auto connection) { return Greet(*c, std::move(connection)); }, 8);
+        [c](auto connection) { return Greet(*c, std::move(connection)); },
+        kMaxClients);
     EXPECT_TRUE(c->listener->Start({Address(number), port_}));
     port_ = c->listener->Port();
     return *c;
@@ -111,7 +115,11 @@
     const auto hello_frame = co_await connection->Receive();
     if (!hello_frame) co_return;
     connection->Send(wire::Encode(message(c.reply)));
-    co_await connection->Receive();
+    bool is_open = true;
+    while (is_open) {
+      const auto frame = co_await connection->Receive();
+      is_open = frame.has_value();
+    }
   }
   void StopControl(int number) {
     control& c = *controls_[number];
@@ -224,5 +232,86 @@
   EXPECT_EQ(c.Members(), Members(5, {2, 3}));
 }
 
+// Guards against clients that are turned away, or connect one after another,
+// when all of them lose their leader at once.
+TEST_F(members_test, TwoHundredClientsFindTheNextLeader) {
+  constexpr int kClients = 200;
+  StartControl(2, 2, Members(1, {2, 3}));
+  std::vector<std::unique_ptr<client>> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(new client(MakeClient()));
+    clients.back()->Start();
+  }
+  const auto count_connected = [&](int leader) {
+    return std::count_if(clients.begin(), clients.end(), [&](const auto& c) {
+      return c->Leader() == Id(leader);
+    });
+  };
+  Wait(2s);
+  ASSERT_EQ(count_connected(2), kClients);
+  StartControl(3, 3, Members(2, {2, 3}));
+  StopControl(2);
+  Wait(2s);
+  EXPECT_EQ(count_connected(3), kClients);
+}
+
+/// A leader that requests orders from the client that connects to it.
+class relay_client_test : public members_test {
+ public:
+  /// Connects a client that relays orders, and counts those it sends.
+  client MakeRelay() {
+    client_settings s;
+    s.name = "relay";
+    s.port = port_;
+    s.data_centre = "here";
+    client_duties duties;
+    duties.send_order =
+        [this](order_request request) -> core::awaitable<order_answer> {
+      sent_.push_back(request.id);
+      co_return order_done{7};
+    };
+    return client(
+        s, Context(),
+        [this] {
+          return std::vector<core::endpoint>{{Address(2), port_}};
+        },
+        std::move(duties));
+  }
+  void Request(std::uint64_t id, std::int64_t sent_at_ms) {
+    for (const auto& connection : controls_[2]->connections) {
+      order_request request;
+      request.id = id;
+      request.order = stop_order{};
+      request.sent_at_ms = sent_at_ms;
+      connection->Send(wire::Encode(message(request)));
+    }
+  }
+
+  std::vector<std::uint64_t> sent_;
+};
+
+// Guards against an order that waited while its sender or the relay was paused,
+// and is sent after the leader has decided otherwise.
+TEST_F(relay_client_test, AnOrderThatWasHeldUpIsNotSent) {
+  StartControl(2, 2, Members(1, {2}));
+  client relay = MakeRelay();
+  relay.Start();
+  ASSERT_TRUE(AwaitLeader(relay, 2));
+  const auto now_ms = [this] {
+    return std::chrono::duration_cast<core::milliseconds>(
+               clock_.Now().time_since_epoch())
+        .count();
+  };
+  // The leader's clock has another start.
+  constexpr std::int64_t kOffsetMs = 5'000'000;
+  Request(1, now_ms() + kOffsetMs);
+  Wait(50ms);
+  Request(2, now_ms() + kOffsetMs - 3'000);
+  Wait(50ms);
+  Request(3, now_ms() + kOffsetMs);
+  Wait(50ms);
+  EXPECT_EQ(sent_, (std::vector<std::uint64_t>{1, 3}));
+}
+
 }  // namespace
 }  // namespace mangoplank::workflow
