Check eligibility in parallel calls, as many as find an idle proxy

Cause: a check named 100 workers in one call, which takes 1.2 s for the gangs of large; those that need more workers called again, and the tickets of the first call had expired when those of the second came. With proxies short, calls waited for one while capacity was reserved for their tasks. Change: a check takes several calls side by side, each with so many workers that it takes half as long again as for none; fewer and larger ones where less than half of the proxies are idle. proxy_budget allows only calls that find an idle proxy; other steps wait unreserved for the next round, in the order of rank. An announcement of one worker looks at that worker alone, not at all.

--- a/include/mangoplank/dispatch/connection_server.h
+++ b/include/mangoplank/dispatch/connection_server.h
@@ -29,6 +29,7 @@
   /// Connections above a lower limit stay open until they end.
   void SetMaxConnections(std::size_t count);
 
+  proxy_count CountProxies() const override;
   core::awaitable<std::optional<std::vector<workflow::eligible_worker>>> Check(
       workflow::task_id step, std::vector<core::worker_id> workers,
       core::milliseconds cost, std::int32_t priority) override;
--- a/include/mangoplank/dispatch/ports.h
+++ b/include/mangoplank/dispatch/ports.h
@@ -75,10 +75,20 @@
                                             core::milliseconds timeout) = 0;
 };
 
+/// Processes that can call the eligibility service, and those of them that have
+/// no call; none while calls wait.
+struct proxy_count {
+  std::size_t idle = 0;
+  std::size_t all = 0;
+
+  friend bool operator==(const proxy_count&, const proxy_count&) = default;
+};
+
 /// Checks with the eligibility service which workers may run a step.
 class eligibility_port {
  public:
   virtual ~eligibility_port() = default;
+  virtual proxy_count CountProxies() const = 0;
   /// @param cost expected time of the call, used to choose a proxy.
   /// @param priority of the queue; calls of a lower number go first.
   /// @return the eligible workers among those given, or no value if the service
--- a/src/dispatch/connection_server.cpp
+++ b/src/dispatch/connection_server.cpp
@@ -248,6 +248,10 @@
   if (impl_->listener) impl_->listener->SetMaxConnections(count);
 }
 
+proxy_count connection_server::CountProxies() const {
+  return impl_->proxies.Count();
+}
+
 awaitable<std::optional<std::vector<workflow::eligible_worker>>>
 connection_server::Check(workflow::task_id step,
                          std::vector<core::worker_id> workers,
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -123,39 +123,47 @@
 
 /// Updates the worker monitors to match the registered workers.
 void dispatcher::impl::SyncWorkers() {
+  std::set<core::worker_id> ids;
+  for (const auto& [id, monitor] : monitors) ids.insert(id);
+  for (const auto& [id, worker] : event_log.State().Workers()) ids.insert(id);
+  for (const core::worker_id& id : ids) SyncWorker(id);
+}
+
+/// The same for one worker: workers are announced one by one, also where
+/// hundreds of them arrive.
+void dispatcher::impl::SyncWorker(const core::worker_id& id) {
   const auto& known = event_log.State().Workers();
-  std::vector<core::worker_id> ended;
-  for (const auto& [id, monitor] : monitors) {
-    const auto it = known.find(id);
-    if (it != known.end() && it->second.key == monitor->worker.key) {
-      monitor->worker = it->second;
-      monitor->pool = &usable_pools[monitor->worker.pool];
-      continue;
-    }
-    if (it != known.end()) OnWorkerLost(*monitor, worker_loss::kNewIncarnation);
-    monitor->removed = true;
-    monitor->wakeup.NotifyAll();
-    for (const auto& [run, tracked] : monitor->runs.Runs()) {
-      run_monitors.erase(run);
-      MarkWaiting(run.task.job);
-    }
-    ended.push_back(id);
-    DropEligibility(monitor->slot);
-    free_slots.push_back(monitor->slot);
+  const auto registered = known.find(id);
+  const auto tracked = monitors.find(id);
+  RequestRound();
+  if (tracked == monitors.end()) {
+    if (registered != known.end()) AddWorker(registered->second, kNever);
+    return;
   }
-  for (const core::worker_id& id : ended) {
-    const auto former = monitors.extract(id).mapped();
-    const auto worker = known.find(id);
-    if (worker == known.end()) continue;
-    AddWorker(worker->second, former->leased_at);
-    for (const auto& [run, tracked] : former->runs.Runs()) {
-      TransferRun(id, run, tracked);
-    }
+  const std::shared_ptr<worker_monitor> monitor = tracked->second;
+  if (registered != known.end() &&
+      registered->second.key == monitor->worker.key) {
+    monitor->worker = registered->second;
+    monitor->pool = &usable_pools[monitor->worker.pool];
+    return;
   }
-  for (const auto& [id, worker] : known) {
-    if (!monitors.contains(id)) AddWorker(worker, kNever);
+  if (registered != known.end()) {
+    OnWorkerLost(*monitor, worker_loss::kNewIncarnation);
+  }
+  monitor->removed = true;
+  monitor->wakeup.NotifyAll();
+  for (const auto& [run, ended] : monitor->runs.Runs()) {
+    run_monitors.erase(run);
+    MarkWaiting(run.task.job);
+  }
+  DropEligibility(monitor->slot);
+  free_slots.push_back(monitor->slot);
+  monitors.erase(tracked);
+  if (registered == known.end()) return;
+  AddWorker(registered->second, monitor->leased_at);
+  for (const auto& [run, former] : monitor->runs.Runs()) {
+    TransferRun(id, run, former);
   }
-  RequestRound();
 }
 
 /// Moves a run of an earlier incarnation of a worker to the current one, which
@@ -218,23 +226,27 @@
     const workflow::job* const job = state.FindJob(id);
     if (job != nullptr && IsFinal(job->phase)) OnJobFinal(*job);
   };
-  std::visit(
-      overloaded{[&](const workflow::job_accepted& applied) {
-                   const workflow::job* const job =
-                       state.FindJob(applied.spec.id);
-                   if (job != nullptr && !IsFinal(job->phase)) TrackJob(*job);
-                 },
-                 [&](const workflow::job_cancelled& applied) {
-                   final_job(applied.job);
-                 },
-                 [&](const workflow::run_ended& applied) {
-                   OnRunEnded(applied);
-                   final_job(applied.run.task.job);
-                 },
-                 [&](const workflow::worker_announced&) { SyncWorkers(); },
-                 [&](const workflow::worker_removed&) { SyncWorkers(); },
-                 [](const auto&) {}},
-      event);
+  std::visit(overloaded{[&](const workflow::job_accepted& applied) {
+                          const workflow::job* const job =
+                              state.FindJob(applied.spec.id);
+                          if (job != nullptr && !IsFinal(job->phase))
+                            TrackJob(*job);
+                        },
+                        [&](const workflow::job_cancelled& applied) {
+                          final_job(applied.job);
+                        },
+                        [&](const workflow::run_ended& applied) {
+                          OnRunEnded(applied);
+                          final_job(applied.run.task.job);
+                        },
+                        [&](const workflow::worker_announced& applied) {
+                          SyncWorker(applied.worker.key.id);
+                        },
+                        [&](const workflow::worker_removed& applied) {
+                          SyncWorker(applied.worker.id);
+                        },
+                        [](const auto&) {}},
+             event);
   RequestRound();
 }
 
@@ -398,7 +410,7 @@
     }
   }
   for (const auto& [key, view] : eligibility_by_step) {
-    if (view.check_pending) ++state.pending_checks;
+    state.pending_checks += view.pending_calls;
   }
   return state;
 }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -13,6 +13,7 @@
 #include "dispatch/order_backoff.h"
 #include "dispatch/order_tries.h"
 #include "dispatch/planning_types.h"
+#include "dispatch/proxy_budget.h"
 #include "dispatch/step_times.h"
 #include "mangoplank/dispatch/dispatcher.h"
 
@@ -139,6 +140,7 @@
   void OnEvent(const workflow::event& event);
   void OnHeartbeat(const workflow::worker_key& key, std::int64_t clock_ms);
   void SyncWorkers();
+  void SyncWorker(const core::worker_id& id);
   void AdoptRuns();
   void TransferRun(const core::worker_id& id, const workflow::run_id& run,
                    const tracked_run& previous);
@@ -321,7 +323,10 @@
                     eligibility_view& view);
   void ReserveForCheck(const workflow::step& step, const eligibility_view& view,
                        std::size_t tasks, usable_pool& pool);
-  core::awaitable<void> RunEligibilityCheck(
+  void StartCalls(const workflow::queue& queue, const step_key& key,
+                  const std::vector<check_candidate>& named,
+                  eligibility_view& view);
+  core::awaitable<void> RunEligibilityCall(
       workflow::queue queue, step_key key,
       std::vector<std::shared_ptr<worker_monitor>> checked);
 
@@ -362,6 +367,7 @@
   std::map<std::string, double> mean_run_ms;
   std::vector<planned_run> planned_runs;
   step_timeline timeline;
+  proxy_budget proxies;
   /// Ended jobs, with the time after which their records are removed.
   std::vector<std::pair<core::time_point, std::string>> ended_jobs;
   core::event round_requested;
--- a/src/dispatch/eligibility_checks.cpp
+++ b/src/dispatch/eligibility_checks.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <span>
 #include <unordered_map>
 
 #include "dispatch/dispatcher_impl.h"
@@ -28,7 +29,11 @@
 constexpr core::milliseconds kCheckRetryPause{200};
 /// Pause before the workers are searched again for a gang that did not fit.
 constexpr core::milliseconds kGangRetryPause{50};
-constexpr std::size_t kMaxWorkersPerCheck = 100;
+/// The service accepts no more in one call.
+constexpr std::size_t kMaxWorkersPerCall = 100;
+/// A check takes several calls at the same time, so that the tickets of a gang
+/// with many tasks are valid together.
+constexpr std::size_t kMaxWorkersPerCheck = 300;
 /// A check of workers whose eligibility is not known names at least as many as
 /// the objective allows time for.
 constexpr std::size_t kMinWorkersPerCheck = 30;
@@ -74,7 +79,7 @@
 }
 
 std::vector<std::shared_ptr<worker_monitor>> MonitorsOf(
-    const std::vector<check_candidate>& candidates) {
+    std::span<const check_candidate> candidates) {
   std::vector<std::shared_ptr<worker_monitor>> monitors;
   monitors.reserve(candidates.size());
   for (const check_candidate& candidate : candidates) {
@@ -83,6 +88,17 @@
   return monitors;
 }
 
+/// @return how many workers a call names at most: those for which it takes half
+/// as long again as for none, so that a check of many workers takes not much
+/// longer than one of a few, and the proxies not much more of their time.
+std::size_t MaxWorkersPerCall(const workflow::eligibility_policy& policy) {
+  if (policy.per_worker_ms <= 0) return kMaxWorkersPerCall;
+  const double balanced = policy.decision_ms / policy.per_worker_ms / 2;
+  return static_cast<std::size_t>(
+      std::clamp(balanced, static_cast<double>(kMinWorkersPerCheck),
+                 static_cast<double>(kMaxWorkersPerCall)));
+}
+
 }  // namespace
 
 bool dispatcher::impl::IsValid(const ticket& ticket) const {
@@ -214,7 +230,7 @@
                                   const workflow::step& step,
                                   const waiting_tasks& waiting,
                                   eligibility_view& view, usable_pool& pool) {
-  if (view.check_pending || clock.Now() < view.retry_after) return;
+  if (view.pending_calls > 0 || clock.Now() < view.retry_after) return;
   const auto tasks = static_cast<double>(waiting.indexes.size());
   const check_candidates candidates =
       FindCandidates(queue, step, waiting, view, pool, tasks * kTaskMargin);
@@ -230,7 +246,7 @@
                                  const workflow::step& step,
                                  const waiting_tasks& waiting, gang_status gang,
                                  eligibility_view& view, usable_pool& pool) {
-  if (view.check_pending || clock.Now() < view.retry_after) return;
+  if (view.pending_calls > 0 || clock.Now() < view.retry_after) return;
   const std::size_t tasks = waiting.indexes.size();
   const auto needed = static_cast<double>(tasks);
   const check_candidates candidates =
@@ -258,8 +274,7 @@
     view.retry_after = clock.Now() + kGangRetryPause;
     return;
   }
-  view.check_pending = true;
-  Spawn(RunEligibilityCheck(queue, key, MonitorsOf(named)));
+  StartCalls(queue, key, named, view);
 }
 
 /// @return workers that are not known to be eligible or not, whether or not
@@ -276,7 +291,7 @@
         worker.capacity.Holds(need) &&
         HasLabel(worker.monitor->worker, step.required_label);
     if (is_candidate) unknown.push_back({&worker});
-    return unknown.size() < kMaxWorkersPerCheck;
+    return unknown.size() < kMaxWorkersPerCall;
   });
   return unknown;
 }
@@ -286,7 +301,7 @@
 std::vector<check_candidate> dispatcher::impl::FindExpiring(
     const workflow::queue& queue, std::size_t limit,
     const eligibility_view& view, const usable_pool& pool) const {
-  const std::size_t most = std::min(limit, kMaxWorkersPerCheck);
+  const std::size_t most = std::min(limit, kMaxWorkersPerCall);
   const core::time_point answered_at =
       clock.Now() + ExpectedCheckTime(queue, most) + kMinTicketValidity;
   std::vector<check_candidate> expiring;
@@ -341,8 +356,7 @@
     view.reserved_on.clear();
     return;
   }
-  view.check_pending = true;
-  Spawn(RunEligibilityCheck(queue, key, MonitorsOf(chosen)));
+  StartCalls(queue, key, chosen, view);
 }
 
 /// Reserves capacity for the tasks of a step on the workers of its pending
@@ -352,7 +366,7 @@
 void dispatcher::impl::ReserveForCheck(const workflow::step& step,
                                        const eligibility_view& view,
                                        std::size_t tasks, usable_pool& pool) {
-  if (!view.check_pending) return;
+  if (view.pending_calls == 0) return;
   const core::resources need = NeedOf(step);
   auto left = static_cast<std::int64_t>(tasks);
   std::vector<check_candidate> unknown;
@@ -383,7 +397,36 @@
   }
 }
 
-awaitable<void> dispatcher::impl::RunEligibilityCheck(
+/// Checks the named workers, in several calls at the same time if they are
+/// many. Those for whose call no proxy is idle are left out; if that are all,
+/// the step is considered again in the next round.
+void dispatcher::impl::StartCalls(const workflow::queue& queue,
+                                  const step_key& key,
+                                  const std::vector<check_candidate>& named,
+                                  eligibility_view& view) {
+  const std::size_t most = proxies.IsPlentiful()
+                               ? MaxWorkersPerCall(*queue.eligibility)
+                               : kMaxWorkersPerCall;
+  const std::size_t wanted = (named.size() + most - 1) / most;
+  const core::milliseconds cost =
+      ExpectedCheckTime(queue, (named.size() + wanted - 1) / wanted);
+  const std::size_t calls = proxies.Allow(cost, wanted);
+  if (calls == 0) {
+    view.reserved_on.clear();
+    return;
+  }
+  proxies.Take(cost, calls);
+  const std::span<const check_candidate> all(named);
+  for (std::size_t call = 0; call < calls; ++call) {
+    const std::size_t begin = named.size() * call / wanted;
+    const std::size_t end = named.size() * (call + 1) / wanted;
+    ++view.pending_calls;
+    Spawn(RunEligibilityCall(queue, key,
+                             MonitorsOf(all.subspan(begin, end - begin))));
+  }
+}
+
+awaitable<void> dispatcher::impl::RunEligibilityCall(
     workflow::queue queue, step_key key,
     std::vector<std::shared_ptr<worker_monitor>> checked) {
   const auto self = shared_from_this();
@@ -409,8 +452,8 @@
   const auto it = eligibility_by_step.find(key);
   if (it == eligibility_by_step.end()) co_return;
   eligibility_view& view = it->second;
-  view.check_pending = false;
-  view.reserved_on.clear();
+  --view.pending_calls;
+  if (view.pending_calls == 0) view.reserved_on.clear();
   if (!answer) {
     view.retry_after = clock.Now() + kCheckRetryPause;
     co_return;
--- a/src/dispatch/eligibility_proxy_pool.cpp
+++ b/src/dispatch/eligibility_proxy_pool.cpp
@@ -74,6 +74,14 @@
   return best->first;
 }
 
+proxy_count eligibility_proxy_pool::Count(core::time_point now) const {
+  proxy_count count{0, proxies_.size()};
+  for (const auto& [id, proxy] : proxies_) {
+    if (proxy.pending.count() == 0 && now >= proxy.avoid_until) ++count.idle;
+  }
+  return count;
+}
+
 void eligibility_proxy_pool::Release(proxy_id id, core::milliseconds cost,
                                      call_outcome outcome,
                                      core::time_point now) {
--- a/src/dispatch/eligibility_proxy_pool.h
+++ b/src/dispatch/eligibility_proxy_pool.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mangoplank/core/clock.h"
+#include "mangoplank/dispatch/ports.h"
 
 namespace mangoplank::dispatch {
 
@@ -32,6 +33,8 @@
   /// @return no value if no proxy can accept the call now.
   std::optional<proxy_id> Acquire(core::milliseconds cost,
                                   core::time_point now);
+  /// @return the proxies, and those of them that are idle and not avoided.
+  proxy_count Count(core::time_point now) const;
   /// Ends a call. Does nothing if the proxy was removed.
   void Release(proxy_id id, core::milliseconds cost, call_outcome outcome,
                core::time_point now);
--- a/src/dispatch/eligibility_proxy_queue.h
+++ b/src/dispatch/eligibility_proxy_queue.h
@@ -28,6 +28,10 @@
   core::awaitable<std::optional<proxy_id>> Acquire(core::milliseconds cost,
                                                    std::int32_t priority,
                                                    core::time_point deadline);
+  proxy_count Count() const {
+    const proxy_count count = pool_.Count(clock_.Now());
+    return calls_.empty() ? count : proxy_count{0, count.all};
+  }
   /// Ends a call. Does nothing if the proxy was removed.
   void Release(proxy_id id, core::milliseconds cost, call_outcome outcome);
 
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -164,6 +164,9 @@
   core::duration delay{0};
   std::set<core::worker_id> eligible;
   std::vector<std::vector<core::worker_id>> checks;
+  proxy_count proxies{1'000, 1'000};
+
+  proxy_count CountProxies() const override { return proxies; }
 
   core::awaitable<std::optional<std::vector<workflow::eligible_worker>>> Check(
       workflow::task_id, std::vector<core::worker_id> workers,
--- a/src/dispatch/load_run_impl.h
+++ b/src/dispatch/load_run_impl.h
@@ -94,6 +94,7 @@
                                      core::milliseconds timeout) override;
   core::awaitable<poll_result> Poll(worker_target to, poll_order order,
                                     core::milliseconds timeout) override;
+  proxy_count CountProxies() const override { return proxy_queue.Count(); }
   core::awaitable<std::optional<std::vector<workflow::eligible_worker>>> Check(
       workflow::task_id step, std::vector<core::worker_id> workers,
       core::milliseconds cost, std::int32_t priority) override;
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -209,6 +209,7 @@
   }
   usable_by_slot.assign(monitors.size() + free_slots.size(), nullptr);
   round_begin = clock.Now();
+  proxies.Reset(eligibility_service.CountProxies());
   const core::time_point now = round_begin;
   CountBackoff(now);
   for (const auto& [id, monitor] : monitors) {
--- a/src/dispatch/planning_types.h
+++ b/src/dispatch/planning_types.h
@@ -49,7 +49,8 @@
 
 /// Known results of the eligibility checks of a step.
 struct eligibility_view {
-  bool check_pending = false;
+  /// Calls that are not answered yet: one check may take several, side by side.
+  std::size_t pending_calls = 0;
   core::time_point retry_after{};
   /// Workers on which capacity is reserved until the pending check is answered:
   /// those that it names, and those whose tickets outlast it.
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -152,7 +152,7 @@
   // Most waiting gangs end here when capacity is short.
   const bool may_be_first =
       objective == objective_status::kOnTime && !pool.has_reservation;
-  const bool has_check = view != nullptr && view->check_pending;
+  const bool has_check = view != nullptr && view->pending_calls > 0;
   if (!may_be_first && !has_check &&
       MaxReachableTasks(queue, pool, need, view) <
           static_cast<double>(tasks) * kReservationThreshold) {
--- a/src/dispatch/wait_report.cpp
+++ b/src/dispatch/wait_report.cpp
@@ -70,12 +70,12 @@
   spdlog::info(
       "job_waiting job={} occurrence={} step={} queue={} age_ms={} gang={} "
       "tasks={} waiting={} held={} on_time={} eligible={} valid_tickets={} "
-      "check_pending={}",
+      "pending_calls={}",
       job.spec.id, tasks.occurrence, tasks.step, job.queue.name,
       clock.WallNow() - job.accepted_at, step.gang, step.count,
       tasks.indexes.size(), CountHeldTasks(job, tasks),
       waiting.rank.objective == objective_status::kOnTime, eligible, valid,
-      is_checked && view->second.check_pending);
+      is_checked ? view->second.pending_calls : 0);
 }
 
 /// Logs the oldest of the jobs whose tasks wait for a worker.
--- a/src/workflow/client.cpp
+++ b/src/workflow/client.cpp
@@ -30,9 +30,6 @@
 constexpr core::milliseconds kReportInterval{1'000};
 /// Maximum number of member addresses kept in addition to the seeds.
 constexpr std::size_t kMaxMembers = 16;
-/// An order that was held up for longer is not sent: the leader may have
-/// decided otherwise, or have been replaced.
-constexpr core::milliseconds kMaxOrderAge{250};
 
 outcome<message> Decode(const std::string& frame, const std::string& peer) {
   return core::Capture([&] {
@@ -322,10 +319,12 @@
     core::milliseconds age) {
   const auto self = shared_from_this();
   order_reply reply{request.id, not_sent{}};
-  if (age > kMaxOrderAge) {
+  // The leader no longer waits for it, and may have decided otherwise.
+  if (age >= request.timeout) {
     spdlog::info("order_outdated worker={} age_ms={}", request.worker.id.v,
                  age.count());
   } else if (duties.send_order) {
+    request.timeout -= age;
     reply.answer = co_await duties.send_order(std::move(request));
   }
   connection->Send(wire::Encode(message(std::move(reply))));
