--- a/src/dispatch/relayed_worker_port_test.cpp
+++ b/src/dispatch/relayed_worker_port_test.cpp
@@ -1,5 +1,8 @@
 #include "mangoplank/dispatch/relayed_worker_port.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "dispatch/dispatcher_fixture.h"
 #include "dispatch/relay_table.h"
 
