--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -7,9 +7,11 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -409,7 +411,6 @@
         for program in self.controllers + self.gateways:
             program.end()
         if os.environ.get("KEEP_LOGS"):
-            import shutil
             shutil.copytree(self.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         self.temporary.cleanup()
         self.claim.close()
@@ -425,7 +426,8 @@
 def main(folder, scenario, limit_s=110):
     """Runs `scenario(cell, trouble)`, which returns the list of breaks, and exits with 1 if there
     is any, 0 if the rule held, and 2 if the case could not run."""
-    cell = None
+    cell, code = None, 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         cell = Cell(folder)
         breaks = asyncio.run(asyncio.wait_for(
@@ -435,7 +437,6 @@
         code = 1 if breaks else 0
         cell.record.write("the rule was broken" if breaks else "the rule held")
     except Exception as error:  # Anything unforeseen: the case could not run.
-        code = 2
         if cell is not None:
             cell.record.write(f"could not run: {error!r}")
         else:
