--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -37,6 +37,9 @@
 struct run_assigned {
   run_id run;
   worker_key worker;
+  /// The worker has answered just before, so that its loss after the order says
+  /// something about the task.
+  bool worker_confirmed = false;
   friend bool operator==(const run_assigned&, const run_assigned&) = default;
 };
 /// A worker has confirmed that it has started a task of the job.
@@ -76,6 +79,15 @@
 
 enum class task_phase : std::uint8_t { kWaiting, kAssigned, kDone };
 
+/// A worker that fell silent under a run of a task. It may have been cut off:
+/// if the same incarnation returns, it has not crashed.
+struct silent_loss {
+  worker_key worker;
+  bool counted_as_crash = false;
+
+  friend bool operator==(const silent_loss&, const silent_loss&) = default;
+};
+
 struct task {
   task_phase phase = task_phase::kWaiting;
   /// Number of the last run; 0 before the first.
@@ -87,10 +99,13 @@
   /// every leader knows them.
   std::uint32_t crashes = 0;
   std::uint32_t losses = 0;
+  /// Those of the losses that are taken back if their worker returns.
+  std::vector<silent_loss> silent_losses;
   /// The last run was lost at its start and may have crashed its worker.
   bool suspected = false;
-  /// Worker of the assigned run.
+  /// Worker of the assigned run, and whether it had answered just before.
   worker_key worker;
+  bool worker_confirmed = false;
   std::string checkpoint;
 
   friend bool operator==(const task&, const task&) = default;
@@ -186,6 +201,7 @@
   void KeepCheckpoint(job& job, const run_ended& event);
   void CountFailure(job& job, const run_id& run);
   void EndRuns(const worker_key& worker);
+  void TakeBackLosses(const worker_key& returned);
 
   void IndexQueues();
 
--- a/include/mangoplank/workflow/types.h
+++ b/include/mangoplank/workflow/types.h
@@ -190,9 +190,26 @@
   kCrashed,
   /// The worker crashed while the run was starting.
   kCrashedAtStart,
+  /// The worker was lost, and nothing shows that it was alive when the start
+  /// order was sent, or that it had the run.
+  kLostUnconfirmed,
 };
 inline constexpr std::size_t kRunEndCount =
-    static_cast<std::size_t>(run_end::kCrashedAtStart) + 1;
+    static_cast<std::size_t>(run_end::kLostUnconfirmed) + 1;
+
+/// @return whether a run with this end is known to have started.
+constexpr bool HadStarted(run_end ending) {
+  return ending != run_end::kNotStarted && ending != run_end::kUnreachable &&
+         ending != run_end::kCrashedAtStart &&
+         ending != run_end::kLostUnconfirmed;
+}
+
+/// @return whether the run was lost with its worker.
+constexpr bool IsLoss(run_end ending) {
+  return ending == run_end::kLost || ending == run_end::kUnreachable ||
+         ending == run_end::kCrashed || ending == run_end::kCrashedAtStart ||
+         ending == run_end::kLostUnconfirmed;
+}
 
 enum class job_phase : std::uint8_t {
   kQueued,
@@ -220,9 +237,9 @@
 /// @return the name used in logs and metrics.
 constexpr std::string_view Name(run_end ending) {
   constexpr std::string_view kNames[kRunEndCount] = {
-      "done",        "failed",  "stopped",         "lapsed",
-      "broken",      "alone",   "not_started",     "worker_lost",
-      "unreachable", "crashed", "crashed_at_start"};
+      "done",        "failed",  "stopped",          "lapsed",
+      "broken",      "alone",   "not_started",      "worker_lost",
+      "unreachable", "crashed", "crashed_at_start", "lost_unconfirmed"};
   return kNames[static_cast<std::size_t>(ending)];
 }
 constexpr std::string_view Name(job_phase phase) {
--- a/src/dispatch/crash_test.cpp
+++ b/src/dispatch/crash_test.cpp
@@ -293,6 +293,36 @@
   EXPECT_EQ(Phase("sound"), workflow::job_phase::kSucceeded);
 }
 
+// Guards against losses that stay counted although their workers were only cut
+// off and have returned: each of six cuts alone would be forgiven.
+TEST_F(CrashTest, CutsOfWorkersThatReturnAreNotCounted) {
+  AddWorkers(8);
+  BeginTerm();
+  Submit("sound", {Step(1, 1'000)}, queue_);
+  const auto task = [&] { return event_log_.state.FindJob("sound")->tasks[0]; };
+  for (int i = 0; i < 6; ++i) {
+    for (int n = 0; n < 100 && task().worker.id.v.empty(); ++n) {
+      RunCell(milliseconds(50));
+    }
+    const workflow::worker_key key = task().worker;
+    ASSERT_FALSE(key.id.v.empty());
+    RunCell(milliseconds(500));
+    workers_.silent.insert(key.id);
+    ++workers_.interruptions[key.id];
+    for (int n = 0; n < 200 && task().losses == 0; ++n) {
+      RunCell(milliseconds(50));
+    }
+    ASSERT_EQ(task().losses, 1u);
+    workers_.states[key.id] = {};
+    workers_.silent.erase(key.id);
+    AddWorker(key.id.v, key.incarnation);
+    EXPECT_EQ(task().losses, 0u);
+    EXPECT_EQ(task().crashes, 0u);
+  }
+  RunCell(seconds(3));
+  EXPECT_EQ(Phase("sound"), workflow::job_phase::kSucceeded);
+}
+
 // Guards against giving up sound jobs on days on which a fifth of the workers
 // crashes, three times, while tasks are starting all the time.
 TEST_F(CrashTest, WavesOfCrashesEndNoSoundJob) {
@@ -342,6 +372,91 @@
   EXPECT_EQ(shared_starts_, 0u);
 }
 
+// Guards against giving up a sound job that no worker has ever run: each of its
+// orders went to an idle worker that was lost too shortly before to be known as
+// lost (review/7).
+TEST_F(CrashTest, OrdersToWorkersThatWereJustLostEndNoJob) {
+  // A run on a silent worker ends 6.2 to 7.2 s after its order. The next worker
+  // is lost shortly before, too late for its silence to be noticed.
+  constexpr milliseconds kNextLoss{5'000};
+  recovery_ = recovery::kNever;
+  const std::vector<std::int64_t> lost_cpu = {5'000, 32'000, 30'000, 28'000,
+                                              26'000};
+  std::vector<workflow::worker_key> lost;
+  for (std::size_t i = 0; i < lost_cpu.size(); ++i) {
+    lost.push_back(AddWorker("lost-" + std::to_string(i), 1, lost_cpu[i]));
+  }
+  for (int i = 0; i < 8; ++i) AddWorker("w" + std::to_string(i), 1, 16'000);
+  BeginTerm();
+  RunCell(seconds(1));
+  Crash(lost[0]);
+  RunCell(seconds(1));
+  Submit("sound", {Step(1, 4'000)}, queue_);
+  for (std::size_t i = 1; i < lost.size(); ++i) {
+    RunCell(kNextLoss);
+    Crash(lost[i]);
+    const std::size_t starts = CountStarts("sound");
+    for (int n = 0; n < 60 && CountStarts("sound") == starts; ++n) {
+      RunCell(milliseconds(50));
+    }
+  }
+  RunCell(seconds(20));
+  EXPECT_EQ(Phase("sound"), workflow::job_phase::kSucceeded);
+}
+
+// Guards against counting runs that an earlier leader has recorded: nothing
+// shows that their orders were sent before their workers crashed.
+TEST_F(CrashTest, OrdersOfEarlierLeadersEndNoJob) {
+  // No worker is eligible, so that this leader orders no run.
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 1'500};
+  workflow::step gang = Step(2, 1'000);
+  gang.gang = true;
+  workflow::step service = Step(1, 1'000);
+  service.long_running = true;
+  workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  Submit("single", {Step(1, 1'000)}, queue_);
+  Submit("gang", {gang}, queue_);
+  Submit("service", {service}, queue_);
+  for (std::uint32_t number = 1; number <= 6; ++number) {
+    dispatcher_->Stop();
+    for (const workflow::run_id& run :
+         {RunOf("single", 0, number), RunOf("gang", 0, number),
+          RunOf("gang", 1, number), RunOf("service", 0, number)}) {
+      event_log_.Apply(workflow::run_assigned{run, w1});
+    }
+    w1 = AddWorker("w1", w1.incarnation + 1);
+    BeginTerm();
+    RunCell(seconds(1));
+    ASSERT_FALSE(event_log_.state.IsAssigned(RunOf("single", 0, number)));
+  }
+  for (const char* job : {"single", "gang", "service"}) {
+    EXPECT_EQ(Phase(job), workflow::job_phase::kQueued) << job;
+  }
+}
+
+// Guards against giving up a job because one worker crashes again and again:
+// its tasks go to other workers (review/4).
+TEST_F(CrashTest, AWorkerThatKeepsCrashingEndsNoJob) {
+  // It has the least room, so that it is preferred while nothing is known.
+  AddWorker("bad", 1, 2'000);
+  for (int i = 0; i < 3; ++i) AddWorker("w" + std::to_string(i));
+  const auto carry_out = workers_.on_start;
+  workers_.on_start = [this, carry_out](const worker_target& to,
+                                        const start_order& order) {
+    order_result result = carry_out(to, order);
+    if (to.key.id.v == "bad") {
+      crash_times_.emplace(clock_.Now() + kTaskTime / 2, to.key);
+    }
+    return result;
+  };
+  BeginTerm();
+  Submit("sound", {Step(1, 1'000)}, queue_);
+  RunCell(seconds(20));
+  EXPECT_EQ(Phase("sound"), workflow::job_phase::kSucceeded);
+  EXPECT_EQ(MaxStarts("sound"), 2u);
+}
+
 // Guards against a count that begins again with each leader.
 TEST_F(CrashTest, ANewLeaderKnowsOfEarlierCrashes) {
   AddWorkers(6);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -98,14 +98,16 @@
         if (monitor != monitors.end()) {
           // The worker's incarnation has ended under the run.
           const bool has_ended = monitor->second->worker.key != task.worker;
+          const workflow::run_end loss =
+              task.worker_confirmed ? workflow::run_end::kCrashedAtStart
+                                    : workflow::run_end::kLostUnconfirmed;
           monitor->second->runs.Add(
               run, {.need = NeedOf(step),
                     .tracked_since = clock.Now(),
                     .ordered = true,
+                    .worker_confirmed = task.worker_confirmed,
                     .resolved_after_poll = 0,
-                    .loss = has_ended ? std::optional(
-                                            workflow::run_end::kCrashedAtStart)
-                                      : std::nullopt,
+                    .loss = has_ended ? std::optional(loss) : std::nullopt,
                     .priority = event_log.State().QueueOf(job).priority,
                     .resumable = step.checkpointing});
           run_monitors[run] = monitor->second;
@@ -276,15 +278,13 @@
     run_monitors.erase(it);
   }
   // If a member that has started ends, the workers end the rest of the gang.
-  const bool never_started = event.ending == workflow::run_end::kNotStarted ||
-                             event.ending == workflow::run_end::kUnreachable ||
-                             event.ending == workflow::run_end::kCrashedAtStart;
-  if (step.gang && never_started) {
+  if (step.gang && !workflow::HadStarted(event.ending)) {
     StopGang(event.run, step.count);
   }
 }
 
-/// Updates the mean run time, and quarantines a worker that keeps failing.
+/// Updates the mean run time and the workers to avoid, and quarantines a worker
+/// that keeps failing.
 void dispatcher::impl::UpdateStatistics(worker_monitor& monitor,
                                         const workflow::run_id& run,
                                         workflow::run_end ending) {
@@ -293,10 +293,12 @@
     if (tracked != nullptr) UpdateMeanRunTime(run, *tracked);
     monitor.failed_jobs.clear();
   }
-  if (ending != workflow::run_end::kFailed) return;
   const workflow::task_id& task = run.task;
-  failed_workers[{task.job, task.occurrence, task.step}]
-                [monitor.worker.key.id] = clock.Now();
+  const step_key step{task.job, task.occurrence, task.step};
+  if (workflow::IsLoss(ending))
+    lost_workers[step].insert(monitor.worker.key.id);
+  if (ending != workflow::run_end::kFailed) return;
+  failed_workers[step][monitor.worker.key.id] = clock.Now();
   monitor.failed_jobs.insert(task.job);
   if (monitor.failed_jobs.size() < kQuarantineThreshold) return;
   monitor.avoid_until = clock.Now() + kQuarantineTime;
@@ -325,9 +327,11 @@
                           job.spec.id);
   DropEligibility(job.spec.id);
   timeline.Drop(job.spec.id);
-  std::erase_if(failed_workers, [&](const auto& entry) {
+  const auto is_of_job = [&](const auto& entry) {
     return entry.first.job == job.spec.id;
-  });
+  };
+  std::erase_if(failed_workers, is_of_job);
+  std::erase_if(lost_workers, is_of_job);
   // A stop that is answered at once removes its run.
   std::vector<std::pair<workflow::run_id, std::shared_ptr<worker_monitor>>>
       runs;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -122,6 +122,18 @@
 /// worker itself; a report may be delayed, or be another writer's.
 enum class reading_source : std::uint8_t { kAnswer, kReport };
 
+/// Polls of several workers at once, each of which has to answer.
+struct worker_confirmation {
+  worker_confirmation(std::size_t workers,
+                      const boost::asio::any_io_executor& executor,
+                      core::clock& clock)
+      : pending(workers), changed(executor, clock) {}
+
+  std::size_t pending;
+  bool all_answered = true;
+  core::event changed;
+};
+
 /// What a poll has shown of the worker. A poll that this process could not send
 /// shows nothing.
 enum class poll_outcome : std::uint8_t { kAnswered, kUnanswered, kNotSent };
@@ -222,6 +234,9 @@
   bool HasSurvivedStart(const worker_monitor& monitor,
                         const tracked_run& tracked,
                         core::milliseconds time) const;
+  workflow::run_end EndingAfterLoss(const worker_monitor& monitor,
+                                    const tracked_run& tracked,
+                                    worker_loss loss) const;
   void OnWorkerLost(worker_monitor& monitor, worker_loss loss);
   core::awaitable<void> RemoveWorker(std::shared_ptr<worker_monitor> monitor,
                                      worker_loss loss, std::string reason);
@@ -249,6 +264,12 @@
                                  std::uint32_t occurrence,
                                  std::uint32_t step) const;
   core::awaitable<void> CommitRuns(std::vector<planned_run> runs);
+  core::awaitable<void> CommitSuspects(std::vector<planned_run> runs);
+  core::awaitable<void> ConfirmWorker(
+      std::shared_ptr<worker_monitor> monitor,
+      std::shared_ptr<worker_confirmation> confirmation);
+  core::awaitable<bool> ConfirmWorkers(const std::vector<planned_run>& runs);
+  void DropPlanned(const planned_run& planned);
   bool IsAssignedTo(const workflow::run_id& run,
                     const worker_monitor& monitor) const;
 
@@ -260,9 +281,9 @@
   void PlanGang(const workflow::job& job, objective_status objective,
                 const workflow::queue& queue, waiting_tasks& waiting,
                 eligibility_view* view);
-  void StartTask(const workflow::job& job, const workflow::queue& queue,
-                 const workflow::task_id& task, std::uint32_t run_number,
-                 const placement_option& option);
+  planned_run PlanRun(const workflow::job& job, const workflow::queue& queue,
+                      const workflow::task_id& task, std::uint32_t run_number,
+                      const placement_option& option);
   double MaxReachableTasks(const workflow::queue& queue,
                            const usable_pool& pool, const core::resources& need,
                            const eligibility_view* view) const;
@@ -361,11 +382,16 @@
   std::map<step_key, eligibility_view> eligibility_by_step;
   std::map<step_key, std::map<core::worker_id, core::time_point>>
       failed_workers;
+  /// Workers that were lost under runs of a step. Others are preferred: a
+  /// worker may crash again and again for its own reasons.
+  std::map<step_key, std::set<core::worker_id>> lost_workers;
   /// Share of the checked workers that were eligible, by queue.
   std::map<std::string, double> eligible_share;
   /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
   std::map<std::string, double> mean_run_ms;
   std::vector<planned_run> planned_runs;
+  /// The runs of suspected tasks, each with those that have to start with it.
+  std::vector<std::vector<planned_run>> planned_suspects;
   step_timeline timeline;
   proxy_budget proxies;
   /// Ended jobs, with the time after which their records are removed.
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "dispatch/dispatcher_impl.h"
 #include "dispatch/placement_needs.h"
@@ -33,6 +34,9 @@
 /// others. If fewer are left, the fault is a general one, and leaving out most
 /// of the workers would stop the pool.
 constexpr double kMinShareWithBackoff = 0.5;
+/// Time in which the workers of suspected tasks have to answer, and what they
+/// report is recorded. Later, an answer no longer shows that they are alive.
+constexpr core::milliseconds kConfirmationTime{1'500};
 /// Weight of each run in the mean run time of a queue.
 constexpr double kRunTimeWeight = 0.05;
 
@@ -176,8 +180,12 @@
     if (!waits) waiting_jobs.erase(next.job->spec.id);
   }
   stats.active_jobs.Set(static_cast<double>(active_jobs.size()));
-  if (planned_runs.empty()) return;
-  Spawn(CommitRuns(std::exchange(planned_runs, {})));
+  if (!planned_runs.empty()) {
+    Spawn(CommitRuns(std::exchange(planned_runs, {})));
+  }
+  for (std::vector<planned_run>& runs : std::exchange(planned_suspects, {})) {
+    Spawn(CommitSuspects(std::move(runs)));
+  }
 }
 
 /// @return whether the worker answers polls and can accept tasks at all.
@@ -290,6 +298,8 @@
   const workflow::step& step_spec = job.spec.steps[step];
   const auto failed = failed_workers.find({job.spec.id, occurrence, step});
   if (failed != failed_workers.end()) waiting.failed_workers = failed->second;
+  const auto lost = lost_workers.find({job.spec.id, occurrence, step});
+  if (lost != lost_workers.end()) waiting.lost_workers = lost->second;
   workflow::task_id id{job.spec.id, occurrence, step, 0};
   for (; id.index < step_spec.count; ++id.index) {
     const workflow::task& task = job.tasks[*job.FindTaskIndex(id)];
@@ -317,12 +327,73 @@
   return assigned_worker != nullptr && *assigned_worker == monitor.worker.key;
 }
 
+/// Polls a worker once for a confirmation.
+awaitable<void> dispatcher::impl::ConfirmWorker(
+    std::shared_ptr<worker_monitor> monitor,
+    std::shared_ptr<worker_confirmation> confirmation) {
+  const auto self = shared_from_this();
+  const poll_outcome outcome = co_await Poll(monitor, core::milliseconds(0));
+  if (outcome != poll_outcome::kAnswered || monitor->removed) {
+    confirmation->all_answered = false;
+    spdlog::info("worker_not_confirmed worker={} born={}",
+                 monitor->worker.key.id.v, monitor->worker.key.incarnation);
+  }
+  --confirmation->pending;
+  confirmation->changed.NotifyAll();
+}
+
+/// @return whether all workers of the runs answer now.
+awaitable<bool> dispatcher::impl::ConfirmWorkers(
+    const std::vector<planned_run>& runs) {
+  std::set<std::shared_ptr<worker_monitor>> chosen;
+  for (const planned_run& planned : runs) chosen.insert(planned.monitor);
+  const auto confirmation =
+      std::make_shared<worker_confirmation>(chosen.size(), executor, clock);
+  for (const auto& monitor : chosen) {
+    Spawn(ConfirmWorker(monitor, confirmation));
+  }
+  const core::time_point deadline = clock.Now() + kConfirmationTime;
+  while (confirmation->pending > 0) {
+    if (!co_await confirmation->changed.WaitUntil(deadline)) co_return false;
+  }
+  co_return confirmation->all_answered;
+}
+
+/// Gives up the plan for a run that was not assigned.
+void dispatcher::impl::DropPlanned(const planned_run& planned) {
+  planned.monitor->runs.Remove(planned.run);
+  run_monitors.erase(planned.run);
+  MarkWaiting(planned.run.task.job);
+}
+
+/// Starts a task that may crash its worker, or a gang with one, on workers that
+/// have just answered: if one is lost then, the order has reached it alive.
+awaitable<void> dispatcher::impl::CommitSuspects(
+    std::vector<planned_run> runs) {
+  const auto self = shared_from_this();
+  const bool confirmed = co_await ConfirmWorkers(runs);
+  if (stopped) co_return;
+  if (!confirmed) {
+    for (const planned_run& planned : runs) {
+      if (!planned.monitor->removed) DropPlanned(planned);
+    }
+    RequestRound();
+    co_return;
+  }
+  for (planned_run& planned : runs) {
+    planned.worker_confirmed = true;
+    tracked_run* const tracked = planned.monitor->runs.Find(planned.run);
+    if (tracked != nullptr) tracked->worker_confirmed = true;
+  }
+  co_await CommitRuns(std::move(runs));
+}
+
 awaitable<void> dispatcher::impl::CommitRuns(std::vector<planned_run> runs) {
   const auto self = shared_from_this();
   std::vector<workflow::event> events;
   for (const planned_run& planned : runs) {
-    events.emplace_back(
-        workflow::run_assigned{planned.run, planned.monitor->worker.key});
+    events.emplace_back(workflow::run_assigned{
+        planned.run, planned.monitor->worker.key, planned.worker_confirmed});
   }
   const auto recorded = co_await Record(std::move(events));
   if (stopped) co_return;
@@ -335,9 +406,7 @@
       continue;
     }
     // Not recorded, or rejected by the state, e.g. as the job was cancelled.
-    planned.monitor->runs.Remove(planned.run);
-    run_monitors.erase(planned.run);
-    MarkWaiting(planned.run.task.job);
+    DropPlanned(planned);
   }
   if (!recorded) {
     spdlog::warn("placement_not_recorded runs={} error={}", runs.size(),
--- a/src/dispatch/planning_types.h
+++ b/src/dispatch/planning_types.h
@@ -132,6 +132,8 @@
   /// Whether the worker is in the rack that holds the data.
   bool is_near_data = false;
   bool has_valid_ticket = false;
+  /// Whether the worker was lost under a run of the step.
+  bool was_lost = false;
 };
 
 /// Tasks of one step that are not assigned to a worker.
@@ -147,6 +149,8 @@
   std::map<core::worker_id, std::uint32_t> placed_per_worker;
   /// Workers on which tasks of the step have failed, and when one last did.
   std::map<core::worker_id, core::time_point> failed_workers;
+  /// Workers that were lost under runs of the step.
+  std::set<core::worker_id> lost_workers;
 };
 
 /// What the rounds know of a job that may have unassigned tasks.
@@ -199,6 +203,8 @@
   std::shared_ptr<worker_monitor> monitor;
   workflow::run_id run;
   std::string ticket;
+  /// The worker has answered since the round.
+  bool worker_confirmed = false;
 };
 
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -113,10 +113,14 @@
       executor, clock, core::milliseconds(0));
   // A payload may be large, and each try has a copy of `send`.
   const auto shared = std::make_shared<const start_order>(std::move(order));
-  const auto send = [self, monitor, shared](core::milliseconds timeout,
-                                            bool is_repeated) {
+  // A relay that loses the order would look like a crash of the worker.
+  const tracked_run* const tracked = monitor->runs.Find(run);
+  const bool is_direct = tracked != nullptr && tracked->worker_confirmed;
+  const auto send = [self, monitor, shared, is_direct](
+                        core::milliseconds timeout, bool is_repeated) {
     return self->workers.Start(
-        self->TargetOf(*monitor, self->RouteOf(is_repeated)), *shared, timeout);
+        self->TargetOf(*monitor, self->RouteOf(is_repeated || is_direct)),
+        *shared, timeout);
   };
   const auto may_repeat = [this, &monitor, &run] {
     return MayRepeatStart(*monitor, run);
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -25,6 +25,8 @@
   core::time_point tracked_since;
   /// A start order was sent; always set for runs of an earlier leader.
   bool ordered = false;
+  /// The worker had answered just before the run was assigned to it.
+  bool worker_confirmed = false;
   /// A start order is on its way, or had no answer: it may still be carried
   /// out, also by a later incarnation of the worker.
   bool may_arrive = false;
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -14,6 +14,8 @@
 
 /// A gang reserves capacity if at least this fraction of its tasks fits now.
 constexpr double kReservationThreshold = 0.75;
+/// A worker that was alive this long ago is preferred for suspected tasks.
+constexpr core::milliseconds kRecentTime{500};
 
 /// Keeps other tasks off a worker from now on, until it has survived the start.
 void Isolate(usable_pool& pool, usable_worker& worker,
@@ -55,11 +57,12 @@
   }
 }
 
-void dispatcher::impl::StartTask(const workflow::job& job,
-                                 const workflow::queue& queue,
-                                 const workflow::task_id& task,
-                                 std::uint32_t run_number,
-                                 const placement_option& option) {
+/// Reserves the resources of a run on its worker.
+planned_run dispatcher::impl::PlanRun(const workflow::job& job,
+                                      const workflow::queue& queue,
+                                      const workflow::task_id& task,
+                                      std::uint32_t run_number,
+                                      const placement_option& option) {
   const workflow::step& step = job.spec.steps[task.step];
   const workflow::run_id run{task, run_number};
   const auto& monitor = option.worker->monitor;
@@ -69,8 +72,7 @@
                           .resumable = step.checkpointing});
   run_monitors[run] = monitor;
   timeline.NoteAssigned({task.job, task.occurrence, task.step}, round_begin);
-  planned_runs.push_back(
-      {monitor, run, option.ticket == nullptr ? "" : option.ticket->text});
+  return {monitor, run, option.ticket == nullptr ? "" : option.ticket->text};
 }
 
 /// Assigns as many tasks as fit, each on its own.
@@ -106,9 +108,14 @@
       ++waiting.placed_per_worker[best->worker->monitor->worker.key.id];
     }
     id.index = index;
-    StartTask(job, queue, id, job.tasks[*job.FindTaskIndex(id)].last_run + 1,
-              *best);
-    if (suspected) Isolate(pool, *best->worker, planned_runs.back().run);
+    planned_run planned = PlanRun(
+        job, queue, id, job.tasks[*job.FindTaskIndex(id)].last_run + 1, *best);
+    if (!suspected) {
+      planned_runs.push_back(std::move(planned));
+      continue;
+    }
+    Isolate(pool, *best->worker, planned.run);
+    planned_suspects.push_back({std::move(planned)});
   }
   waiting.indexes = std::move(remaining);
   if (waiting.indexes.empty()) return;
@@ -171,12 +178,19 @@
   }
   if (chosen.size() == tasks) {
     workflow::task_id id{job.spec.id, waiting.occurrence, waiting.step, 0};
+    std::vector<planned_run> suspects;
     for (std::size_t i = 0; i < tasks; ++i) {
       id.index = waiting.indexes[i];
-      StartTask(job, queue, id, waiting.last_run + 1, *chosen[i]);
-      if (waiting.suspects.empty()) continue;
-      Isolate(pool, *chosen[i]->worker, planned_runs.back().run);
+      planned_run planned =
+          PlanRun(job, queue, id, waiting.last_run + 1, *chosen[i]);
+      if (waiting.suspects.empty()) {
+        planned_runs.push_back(std::move(planned));
+        continue;
+      }
+      Isolate(pool, *chosen[i]->worker, planned.run);
+      suspects.push_back(std::move(planned));
     }
+    if (!suspects.empty()) planned_suspects.push_back(std::move(suspects));
     waiting.indexes.clear();
     return;
   }
@@ -302,7 +316,8 @@
       candidate.capacity, need, MaxTasksOn(step, waiting, worker.key.id)));
   if (max_tasks == 0) return;
   options.push_back({&candidate, ticket, max_tasks,
-                     HasLabel(worker, step.preferred_rack), has_valid_ticket});
+                     HasLabel(worker, step.preferred_rack), has_valid_ticket,
+                     waiting.lost_workers.contains(worker.key.id)});
 }
 
 bool dispatcher::impl::HasStartingRuns(const worker_monitor& monitor) const {
@@ -324,12 +339,15 @@
 
 /// @return the best option for a task that may crash its worker, or null: the
 /// worker with the most available CPU, and so the least to lose, among those on
-/// which nothing else is starting.
+/// which nothing else is starting. In a wave of losses a worker with room may
+/// be the one that was lost last, so that those heard of lately go first.
 placement_option* dispatcher::impl::ChooseIsolatedOption(
     std::vector<placement_option>& options, const core::resources& need) const {
+  const core::time_point recent = clock.Now() - kRecentTime;
   const auto preference = [&](const placement_option& option) {
-    return std::tuple(option.is_near_data,
+    return std::tuple(!option.was_lost, option.is_near_data,
                       Unreserved(*option.worker).Holds(need),
+                      option.worker->monitor->last_alive >= recent,
                       option.worker->available.cpu_milli);
   };
   placement_option* best = nullptr;
@@ -370,7 +388,8 @@
     };
     const auto preference = [&](const placement_option& candidate) {
       const std::int64_t available = available_of(candidate);
-      return std::tuple(candidate.is_near_data, is_unreserved(candidate),
+      return std::tuple(!candidate.was_lost, candidate.is_near_data,
+                        is_unreserved(candidate),
                         start_now ? -available : available);
     };
     const bool better =
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -32,9 +32,26 @@
   return tracked.started_at && monitor.last_alive >= *tracked.started_at + time;
 }
 
-/// Attributes the loss of a worker that was not draining to the runs that it
-/// had, unless they had been at work for long. An order may also have reached a
-/// worker that had crashed before.
+/// An order may have gone to a worker that had crashed before. So a loss says
+/// something about a task only if the worker had its run, or had answered just
+/// before the order.
+/// @return how an ordered run ends whose worker is lost.
+workflow::run_end dispatcher::impl::EndingAfterLoss(
+    const worker_monitor& monitor, const tracked_run& tracked,
+    worker_loss loss) const {
+  if (HasSurvivedStart(monitor, tracked, kProvenTime)) {
+    return workflow::run_end::kLost;
+  }
+  if (!tracked.started_at && !tracked.worker_confirmed) {
+    return workflow::run_end::kLostUnconfirmed;
+  }
+  if (loss == worker_loss::kSilent) return workflow::run_end::kUnreachable;
+  return HasSurvivedStart(monitor, tracked, kStartTime)
+             ? workflow::run_end::kCrashed
+             : workflow::run_end::kCrashedAtStart;
+}
+
+/// Decides how the runs of a worker end that was lost without draining.
 void dispatcher::impl::OnWorkerLost(worker_monitor& monitor, worker_loss loss) {
   if (monitor.worker.draining || monitor.deregistered_at) return;
   stats.LostWorkers(Name(loss)).Add();
@@ -44,15 +61,7 @@
     if (!tracked.ordered) continue;
     const bool survived = HasSurvivedStart(monitor, tracked, kStartTime);
     if (!survived && starting++ == 0) first = Name(run);
-    auto ending = workflow::run_end::kCrashedAtStart;
-    if (HasSurvivedStart(monitor, tracked, kProvenTime)) {
-      ending = workflow::run_end::kLost;
-    } else if (loss == worker_loss::kSilent) {
-      ending = workflow::run_end::kUnreachable;
-    } else if (survived) {
-      ending = workflow::run_end::kCrashed;
-    }
-    monitor.runs.Find(run)->loss = ending;
+    monitor.runs.Find(run)->loss = EndingAfterLoss(monitor, tracked, loss);
   }
   spdlog::warn(
       "worker_lost worker={} born={} evidence={} runs={} starting={} "
@@ -75,8 +84,9 @@
     std::vector<workflow::event> events;
     for (const auto& [run, tracked] : monitor->runs.Runs()) {
       if (!tracked.loss || !event_log.State().IsAssigned(run)) continue;
-      spdlog::info("run_lost run={} worker={} how={}", Name(run),
-                   monitor->worker.key.id.v, Name(*tracked.loss));
+      spdlog::info("run_lost run={} worker={} how={} started={} confirmed={}",
+                   Name(run), monitor->worker.key.id.v, Name(*tracked.loss),
+                   tracked.started_at.has_value(), tracked.worker_confirmed);
       events.emplace_back(workflow::run_ended{run, *tracked.loss, {}});
     }
     events.emplace_back(workflow::worker_removed{monitor->worker.key});
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -19,6 +19,18 @@
                  memory_budget& budget);
 static void Read(schema::WorkflowEvent::Reader reader, workflow::event& value,
                  memory_budget& budget);
+static void Read(schema::SilentLoss::Reader reader,
+                 workflow::silent_loss& value, memory_budget& budget) {
+  Read(reader.getWorker(), value.worker, budget);
+  value.counted_as_crash = reader.getCountedAsCrash();
+}
+
+static void Write(const workflow::silent_loss& value,
+                  schema::SilentLoss::Builder builder) {
+  Write(value.worker, builder.initWorker());
+  builder.setCountedAsCrash(value.counted_as_crash);
+}
+
 static void Read(schema::WorkflowTask::Reader reader, workflow::task& value,
                  memory_budget& budget);
 static void Read(schema::WorkflowJob::Reader reader, workflow::job& value,
@@ -237,6 +249,7 @@
   auto g = builder.initRunAssigned();
   Write(value.run, g.initRun());
   Write(value.worker, g.initWorker());
+  g.setWorkerConfirmed(value.worker_confirmed);
 }
 static void WriteEvent(const workflow::job_started& value,
                        schema::WorkflowEvent::Builder builder) {
@@ -285,6 +298,7 @@
       workflow::run_assigned value;
       Read(reader.getRunAssigned().getRun(), value.run, budget);
       Read(reader.getRunAssigned().getWorker(), value.worker, budget);
+      value.worker_confirmed = reader.getRunAssigned().getWorkerConfirmed();
       return value;
     }
     case WorkflowEvent::JOB_STARTED:
@@ -293,7 +307,8 @@
       const auto g = reader.getRunEnded();
       workflow::run_ended value;
       Read(g.getRun(), value.run, budget);
-      value.ending = Enumerator(g.getHow(), workflow::run_end::kCrashedAtStart);
+      value.ending =
+          Enumerator(g.getHow(), workflow::run_end::kLostUnconfirmed);
       value.checkpoint = String(g.getCheckpoint());
       return value;
     }
@@ -331,6 +346,8 @@
   value.crashes = reader.getCrashes();
   value.losses = reader.getLosses();
   value.suspected = reader.getSuspected();
+  value.worker_confirmed = reader.getWorkerConfirmed();
+  ReadList(reader.getSilentLosses(), value.silent_losses, budget);
 }
 
 static void Write(const workflow::job& value,
@@ -352,6 +369,11 @@
     to.setCrashes(t.crashes);
     to.setLosses(t.losses);
     to.setSuspected(t.suspected);
+    to.setWorkerConfirmed(t.worker_confirmed);
+    auto losses = to.initSilentLosses(t.silent_losses.size());
+    for (std::size_t n = 0; n < t.silent_losses.size(); ++n) {
+      Write(t.silent_losses[n], losses[static_cast<unsigned>(n)]);
+    }
   }
   SetAll(builder.initLeft(value.unfinished_tasks.size()),
          value.unfinished_tasks);
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -99,6 +99,7 @@
     runAssigned :group {
       run @5 :RunId;
       worker @6 :WorkerKey;
+      workerConfirmed @14 :Bool;
     }
     runEnded :group {
       run @7 :RunId;
@@ -117,6 +118,11 @@
   events @0 :List(WorkflowEvent);
 }
 
+struct SilentLoss {
+  worker @0 :WorkerKey;
+  countedAsCrash @1 :Bool;
+}
+
 struct WorkflowTask {
   phase @0 :UInt8;
   lastRun @1 :UInt32;
@@ -126,6 +132,8 @@
   crashes @5 :UInt32;
   suspected @6 :Bool;
   losses @7 :UInt32;
+  workerConfirmed @8 :Bool;
+  silentLosses @9 :List(SilentLoss);
 }
 
 struct WorkflowJob {
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -32,6 +32,7 @@
 CAPNP_DECLARE_SCHEMA(c2e909a4b7f1b58a);
 CAPNP_DECLARE_SCHEMA(842430a3af05fb4d);
 CAPNP_DECLARE_SCHEMA(a4e4636e6eb0907e);
+CAPNP_DECLARE_SCHEMA(85efaa05b9a77864);
 CAPNP_DECLARE_SCHEMA(a73b46d9570aa69e);
 CAPNP_DECLARE_SCHEMA(968e339406cdbf6f);
 CAPNP_DECLARE_SCHEMA(e64e798365b18cb5);
@@ -288,6 +289,21 @@
   };
 };
 
+struct SilentLoss {
+  SilentLoss() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(85efaa05b9a77864, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct WorkflowTask {
   WorkflowTask() = delete;
 
@@ -296,7 +312,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a73b46d9570aa69e, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a73b46d9570aa69e, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2028,6 +2044,8 @@
   inline bool hasWorker() const;
   inline  ::mangoplank::wire::schema::WorkerKey::Reader getWorker() const;
 
+  inline bool getWorkerConfirmed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2070,6 +2088,9 @@
   inline void adoptWorker(::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value);
   inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> disownWorker();
 
+  inline bool getWorkerConfirmed();
+  inline void setWorkerConfirmed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2276,6 +2297,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class SilentLoss::Reader {
+public:
+  typedef SilentLoss Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorker() const;
+  inline  ::mangoplank::wire::schema::WorkerKey::Reader getWorker() const;
+
+  inline bool getCountedAsCrash() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SilentLoss::Builder {
+public:
+  typedef SilentLoss Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorker();
+  inline  ::mangoplank::wire::schema::WorkerKey::Builder getWorker();
+  inline void setWorker( ::mangoplank::wire::schema::WorkerKey::Reader value);
+  inline  ::mangoplank::wire::schema::WorkerKey::Builder initWorker();
+  inline void adoptWorker(::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> disownWorker();
+
+  inline bool getCountedAsCrash();
+  inline void setCountedAsCrash(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SilentLoss::Pipeline {
+public:
+  typedef SilentLoss Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangoplank::wire::schema::WorkerKey::Pipeline getWorker();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class WorkflowTask::Reader {
 public:
   typedef WorkflowTask Reads;
@@ -2311,6 +2419,11 @@
 
   inline  ::uint32_t getLosses() const;
 
+  inline bool getWorkerConfirmed() const;
+
+  inline bool hasSilentLosses() const;
+  inline  ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Reader getSilentLosses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2371,6 +2484,16 @@
   inline  ::uint32_t getLosses();
   inline void setLosses( ::uint32_t value);
 
+  inline bool getWorkerConfirmed();
+  inline void setWorkerConfirmed(bool value);
+
+  inline bool hasSilentLosses();
+  inline  ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Builder getSilentLosses();
+  inline void setSilentLosses( ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Builder initSilentLosses(unsigned int size);
+  inline void adoptSilentLosses(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>> disownSilentLosses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6293,6 +6416,7 @@
 inline typename WorkflowEvent::RunAssigned::Builder WorkflowEvent::Builder::initRunAssigned() {
   _builder.setDataField<WorkflowEvent::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, WorkflowEvent::RUN_ASSIGNED);
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename WorkflowEvent::RunAssigned::Builder(_builder);
@@ -6713,6 +6837,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool WorkflowEvent::RunAssigned::Reader::getWorkerConfirmed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowEvent::RunAssigned::Builder::getWorkerConfirmed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowEvent::RunAssigned::Builder::setWorkerConfirmed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkflowEvent::RunEnded::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6834,6 +6972,59 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool SilentLoss::Reader::hasWorker() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SilentLoss::Builder::hasWorker() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::WorkerKey::Reader SilentLoss::Reader::getWorker() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::WorkerKey::Builder SilentLoss::Builder::getWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::WorkerKey::Pipeline SilentLoss::Pipeline::getWorker() {
+  return  ::mangoplank::wire::schema::WorkerKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void SilentLoss::Builder::setWorker( ::mangoplank::wire::schema::WorkerKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::WorkerKey::Builder SilentLoss::Builder::initWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SilentLoss::Builder::adoptWorker(
+    ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::WorkerKey> SilentLoss::Builder::disownWorker() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::WorkerKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SilentLoss::Reader::getCountedAsCrash() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool SilentLoss::Builder::getCountedAsCrash() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SilentLoss::Builder::setCountedAsCrash(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t WorkflowTask::Reader::getPhase() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6991,6 +7182,54 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WorkflowTask::Reader::getWorkerConfirmed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkflowTask::Builder::getWorkerConfirmed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowTask::Builder::setWorkerConfirmed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkflowTask::Reader::hasSilentLosses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowTask::Builder::hasSilentLosses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Reader WorkflowTask::Reader::getSilentLosses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Builder WorkflowTask::Builder::getSilentLosses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WorkflowTask::Builder::setSilentLosses( ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Builder WorkflowTask::Builder::initSilentLosses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowTask::Builder::adoptSilentLosses(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>> WorkflowTask::Builder::disownSilentLosses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool WorkflowJob::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 #include "mangoplank/workflow/limits.h"
 
@@ -24,8 +25,8 @@
   return std::tie(queue.host, queue.path_prefix);
 }
 
-/// Sound tasks are hit too, by crashes for other reasons and by orders to
-/// workers that have crashed already, so that two crashes don't show a cause.
+/// Sound tasks are hit too, by crashes for other reasons, so that two crashes
+/// don't show a cause.
 constexpr std::uint32_t kMaxCrashes = 4;
 /// Workers that are cut off end no task, but some never return after a crash.
 constexpr std::uint32_t kMaxLosses = 5;
@@ -36,12 +37,6 @@
          ending == run_end::kCrashedAtStart;
 }
 
-/// @return whether a run with this end is known to have started.
-bool HadStarted(run_end ending) {
-  return ending != run_end::kNotStarted && ending != run_end::kUnreachable &&
-         ending != run_end::kCrashedAtStart;
-}
-
 void Fail(job& job, job_failure failure) {
   if (IsFinal(job.phase)) return;
   job.phase = job_phase::kFailed;
@@ -50,10 +45,16 @@
 
 /// Counts a run that was lost with its worker, and gives the job up if the task
 /// is likely to crash each worker that starts it.
-void CountLoss(job& job, task& task, run_end ending) {
+/// @param worker_confirmed whether the worker had answered just before the run.
+void CountLoss(job& job, task& task, run_end ending, const worker_key& worker,
+               bool worker_confirmed) {
   task.suspected = ending != run_end::kCrashed;
   ++task.losses;
-  if (ending != run_end::kUnreachable) ++task.crashes;
+  // A silent worker may be cut off, but hardly each one that had just answered.
+  const bool is_silent = ending == run_end::kUnreachable;
+  const bool is_crash = !is_silent || worker_confirmed;
+  if (is_crash) ++task.crashes;
+  if (is_silent) task.silent_losses.push_back({worker, is_crash});
   if (task.crashes >= kMaxCrashes || task.losses >= kMaxLosses) {
     Fail(job, job_failure::kWorkerCrashes);
   }
@@ -156,6 +157,7 @@
   task.phase = task_phase::kAssigned;
   task.last_run = event.run.number;
   task.worker = event.worker;
+  task.worker_confirmed = event.worker_confirmed;
 }
 
 void state::On(const job_started& event) {
@@ -201,14 +203,22 @@
   if (job.phase == job_phase::kQueued && HadStarted(event.ending)) {
     job.phase = job_phase::kRunning;
   }
-  task.worker = {};
+  const worker_key worker = std::exchange(task.worker, {});
+  const bool worker_confirmed = std::exchange(task.worker_confirmed, false);
   task.phase = task_phase::kWaiting;
   if (!event.checkpoint.empty()) KeepCheckpoint(job, event);
-  if (IsSuspicious(event.ending)) return CountLoss(job, task, event.ending);
+  // No evidence against the task, but its next start has to give some.
+  if (event.ending == run_end::kLostUnconfirmed) task.suspected = true;
+  if (IsSuspicious(event.ending)) {
+    return CountLoss(job, task, event.ending, worker, worker_confirmed);
+  }
   if (HadStarted(event.ending)) {
     task.suspected = false;
     // Services run for weeks, in which workers crash for other reasons.
-    if (step.long_running) task.crashes = task.losses = 0;
+    if (step.long_running) {
+      task.crashes = task.losses = 0;
+      task.silent_losses.clear();
+    }
   }
   if (step.long_running) return;
   if (event.ending == run_end::kDone) {
@@ -246,15 +256,30 @@
       if (task.worker.incarnation > worker.incarnation) continue;
       task.phase = task_phase::kWaiting;
       task.worker = {};
+      task.worker_confirmed = false;
     }
     DropTasks(job);
   }
 }
 
+/// A worker that was only cut off says nothing against the tasks that it had.
+void state::TakeBackLosses(const worker_key& returned) {
+  for (auto& [id, job] : jobs_) {
+    for (task& task : job.tasks) {
+      std::erase_if(task.silent_losses, [&](const silent_loss& loss) {
+        if (loss.worker != returned) return false;
+        --task.losses;
+        if (loss.counted_as_crash) --task.crashes;
+        return true;
+      });
+    }
+  }
+}
+
 void state::On(const worker_announced& event) {
   const auto [it, added] =
       workers_.try_emplace(event.worker.key.id, event.worker);
-  if (added) return;
+  if (added) return TakeBackLosses(event.worker.key);
   // A delayed report may be from an earlier incarnation. The runs of that one
   // stay assigned until the leader ends them, as a start order may still reach
   // the new incarnation.
