Count a run of a gang as one attempt, however many members fail

Cause: CountFailure compared the sum of all members' failures with the limit. The sum is right for members that fail in different runs and wrong within one.

A member's failure counts only if no other member has failed in that run. attempt_failed lines tell the run and how many attempts are used.

Why this works: members share the run number, the next run starts only when all members of the last one have ended, and an end counts only for the assigned run, so that it doesn't matter when and in which order ends are recorded.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -92,8 +92,11 @@
   task_phase phase = task_phase::kWaiting;
   /// Number of the last run; 0 before the first.
   std::uint32_t last_run = 0;
-  /// Number of runs that ended as failed.
+  /// Number of runs that ended as failed. Of the members of a gang that fail in
+  /// one run only the first counts it, so that their sum is the gang's number.
   std::uint32_t failures = 0;
+  /// Number of the last run that ended as failed; 0 if none has.
+  std::uint32_t last_failed_run = 0;
   /// Number of workers that crashed under runs of the task, and of these and
   /// the unreachable ones together. Recorded before the next start, so that
   /// every leader knows them.
@@ -138,6 +141,10 @@
   /// @return the index in `tasks`, or no value if there is no such task or the
   /// tasks of the ended job were dropped.
   std::optional<std::size_t> FindTaskIndex(const task_id& id) const;
+  /// @return how many attempts the task has used; for the member of a gang
+  /// those of the gang, which uses one for each run that fails. The task must
+  /// be known.
+  std::uint32_t CountAttempts(const task_id& id) const;
   /// @return whether all dependencies of the step have succeeded.
   bool IsStepReady(std::uint32_t occurrence, std::uint32_t step) const;
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -252,6 +252,18 @@
   RequestRound();
 }
 
+/// Logs how many attempts are used after a failed run. Members of a gang that
+/// fail in one run show the same number.
+void dispatcher::impl::LogAttempts(const workflow::job& job,
+                                   const workflow::run_id& run) const {
+  const std::uint32_t most = event_log.State().QueueOf(job).max_attempts;
+  // The tasks of a job that has failed are dropped with its last run.
+  const bool is_known = job.FindTaskIndex(run.task).has_value();
+  spdlog::info("attempt_failed run={} gang={} attempts={} max_attempts={}",
+               Name(run), job.spec.steps[run.task.step].gang,
+               is_known ? job.CountAttempts(run.task) : most, most);
+}
+
 void dispatcher::impl::OnRunEnded(const workflow::run_ended& event) {
   // The end of one member ends the runs of the whole gang.
   const workflow::job* const job =
@@ -259,6 +271,7 @@
   if (job == nullptr) return;
   ++load.ends;
   MarkWaiting(event.run.task.job);
+  if (event.ending == workflow::run_end::kFailed) LogAttempts(*job, event.run);
   const workflow::task_id& task = event.run.task;
   const workflow::step& step = job->spec.steps[task.step];
   if (job->unfinished_tasks[job->StepIndex(task.occurrence, task.step)] == 0) {
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -158,6 +158,7 @@
                    const tracked_run& previous);
   void AddWorker(const workflow::worker& worker, core::time_point leased_at);
   void TrackJob(const workflow::job& job);
+  void LogAttempts(const workflow::job& job, const workflow::run_id& run) const;
   void OnRunEnded(const workflow::run_ended& event);
   void UpdateStatistics(worker_monitor& monitor, const workflow::run_id& run,
                         workflow::run_end ending);
--- a/src/dispatch/planner_test.cpp
+++ b/src/dispatch/planner_test.cpp
@@ -158,6 +158,44 @@
   EXPECT_EQ(CountStarts("j"), 4u);
 }
 
+// Guards against members of one run of a gang that use up all of its attempts
+// (review/8): on several workers that fail all tasks, reported one after the
+// other, with a change of leader in between, and one of them after the next run
+// was ordered.
+TEST_F(FailedTaskTest, AGangOnSeveralFailingWorkersUsesOneAttempt) {
+  for (int i = 1; i <= 6; ++i) AddWorker("w" + std::to_string(i));
+  BeginTerm();
+  workflow::step gang = Step(6, 4'000);
+  gang.gang = true;
+  Submit("j", {gang}, queue_);
+  RunWithHeartbeats(milliseconds(500));
+  ASSERT_EQ(CountStarts("j"), 6u);
+  std::map<core::worker_id, std::vector<workflow::run_id>> members;
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    members[WorkerOf(RunOf("j", i, 1))].push_back(RunOf("j", i, 1));
+  }
+  ASSERT_EQ(members.size(), 3u);
+  const core::worker_id late = members.rbegin()->first;
+  Mute(late);
+  for (const auto& [worker, runs] : members) {
+    if (worker == late) continue;
+    for (const workflow::run_id& run : runs) FailOn(worker.v, run);
+    RunWithHeartbeats(milliseconds(200));
+    dispatcher_->Stop();
+    BeginTerm();
+  }
+  // The runs of the worker that doesn't answer end with their lease.
+  RunWithHeartbeats(seconds(16));
+  ASSERT_EQ(CountStarts("j"), 12u);
+  for (const workflow::run_id& run : members[late]) FailOn(late.v, run);
+  workers_.silent.clear();
+  RunWithHeartbeats(seconds(1));
+  ASSERT_FALSE(IsFinal(Phase("j")));
+  workers_.End(WorkerOf(RunOf("j", 0, 2)), RunOf("j", 0, 2), run_end::kDone);
+  RunWithHeartbeats(seconds(1));
+  EXPECT_EQ(Phase("j"), workflow::job_phase::kSucceeded);
+}
+
 // Guards against a task that waits for as long as the other workers are full,
 // which may be for good.
 TEST_F(FailedTaskTest, IsRetriedWhileTheOthersStayFull) {
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -341,6 +341,7 @@
   value.phase = Enumerator(reader.getPhase(), workflow::task_phase::kDone);
   value.last_run = reader.getLastRun();
   value.failures = reader.getFailures();
+  value.last_failed_run = reader.getLastFailedRun();
   Read(reader.getWhere(), value.worker, budget);
   value.checkpoint = String(reader.getCheckpoint());
   value.crashes = reader.getCrashes();
@@ -364,6 +365,7 @@
     to.setPhase(Number(t.phase));
     to.setLastRun(t.last_run);
     to.setFailures(t.failures);
+    to.setLastFailedRun(t.last_failed_run);
     Write(t.worker, to.initWhere());
     to.setCheckpoint(Text(t.checkpoint));
     to.setCrashes(t.crashes);
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -134,6 +134,7 @@
   losses @7 :UInt32;
   workerConfirmed @8 :Bool;
   silentLosses @9 :List(SilentLoss);
+  lastFailedRun @10 :UInt32;
 }
 
 struct WorkflowJob {
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -2424,6 +2424,8 @@
   inline bool hasSilentLosses() const;
   inline  ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>::Reader getSilentLosses() const;
 
+  inline  ::uint32_t getLastFailedRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2494,6 +2496,9 @@
   inline void adoptSilentLosses(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::SilentLoss,  ::capnp::Kind::STRUCT>> disownSilentLosses();
 
+  inline  ::uint32_t getLastFailedRun();
+  inline void setLastFailedRun( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7230,6 +7235,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t WorkflowTask::Reader::getLastFailedRun() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkflowTask::Builder::getLastFailedRun() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowTask::Builder::setLastFailedRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkflowJob::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -91,6 +91,18 @@
   return index + id.index;
 }
 
+std::uint32_t job::CountAttempts(const task_id& id) const {
+  const step& step = spec.steps[id.step];
+  const std::size_t index = *FindTaskIndex(id);
+  if (!step.gang) return tasks[index].failures;
+  const auto first = tasks.begin() + static_cast<std::ptrdiff_t>(index) -
+                     static_cast<std::ptrdiff_t>(id.index);
+  return std::accumulate(first, first + step.count, std::uint32_t{0},
+                         [](std::uint32_t sum, const task& member) {
+                           return sum + member.failures;
+                         });
+}
+
 bool job::IsStepReady(std::uint32_t occurrence, std::uint32_t step) const {
   const auto& earlier = spec.steps[step].depends_on;
   return std::all_of(
@@ -233,18 +245,24 @@
   if (event.ending == run_end::kFailed) CountFailure(job, event.run);
 }
 
-/// Counts a failed run. The members of a gang use up their attempts together.
+/// Counts a failed run. A run of a gang is one attempt, however many of its
+/// members fail in it.
 void state::CountFailure(job& job, const run_id& run) {
+  const std::size_t index = *job.FindTaskIndex(run.task);
   const step& step = job.spec.steps[run.task.step];
-  std::uint32_t failures = ++job.tasks[*job.FindTaskIndex(run.task)].failures;
-  if (step.gang) {
-    failures = 0;
-    task_id member = run.task;
-    for (member.index = 0; member.index < step.count; ++member.index) {
-      failures += job.tasks[*job.FindTaskIndex(member)].failures;
-    }
+  const auto has_failed = [&](const task& member) {
+    return member.last_failed_run == run.number;
+  };
+  const auto first = job.tasks.begin() + static_cast<std::ptrdiff_t>(index) -
+                     static_cast<std::ptrdiff_t>(run.task.index);
+  const bool is_counted =
+      step.gang && std::any_of(first, first + step.count, has_failed);
+  job.tasks[index].last_failed_run = run.number;
+  if (is_counted) return;
+  ++job.tasks[index].failures;
+  if (job.CountAttempts(run.task) >= QueueOf(job).max_attempts) {
+    Fail(job, job_failure::kAttempts);
   }
-  if (failures >= QueueOf(job).max_attempts) Fail(job, job_failure::kAttempts);
 }
 
 void state::EndRuns(const worker_key& worker) {
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "mangoplank/wire/codec.h"
 
 namespace mangoplank::workflow {
@@ -276,6 +278,58 @@
   EXPECT_FALSE(s.IsAssigned(RunOf(0, 0, 2)));
 }
 
+// Guards against counting members of a gang that fail in one run as several
+// attempts (review/8): in any order, with a snapshot in between, and with the
+// ends of other kinds beside them.
+TEST(WorkflowStateTest, ARunOfAGangIsOneAttempt) {
+  step gang;
+  gang.count = 4;
+  gang.gang = true;
+  state s = MakeState({gang});
+  std::vector<std::uint32_t> order = {0, 1, 2, 3};
+  do {
+    s = MakeState({gang});
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+      for (const std::uint32_t member : order) {
+        s.Apply(run_assigned{RunOf(0, member, run), Key("w1", 1)});
+      }
+      for (const std::uint32_t member : order) {
+        const run_end ending =
+            member == 2 ? run_end::kGangMemberEnded : run_end::kFailed;
+        s.Apply(run_ended{RunOf(0, member, run), ending, ""});
+        const auto image = core::Capture(
+            [&] { return wire::DecodeWorkflowImage(wire::Encode(s.Image())); });
+        ASSERT_TRUE(image);
+        s = state::FromImage(*image);
+      }
+      if (run == 2) break;
+      EXPECT_FALSE(IsFinal(s.FindJob("j")->phase));
+      EXPECT_EQ(s.FindJob("j")->CountAttempts({"j", 0, 0, 0}), 1u);
+    }
+    EXPECT_EQ(s.FindJob("j")->failure, job_failure::kAttempts);
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// Guards against a gang without an end, as another member fails in each run,
+// and against a late end of an earlier run that counts for a later one.
+TEST(WorkflowStateTest, AGangUsesAnAttemptForEachRunThatFails) {
+  step gang;
+  gang.count = 2;
+  gang.gang = true;
+  state s = MakeState({gang});
+  for (std::uint32_t run = 1; run <= 2; ++run) {
+    EXPECT_FALSE(IsFinal(s.FindJob("j")->phase));
+    for (std::uint32_t member = 0; member < 2; ++member) {
+      s.Apply(run_assigned{RunOf(0, member, run), Key("w1", 1)});
+    }
+    if (run == 2) s.Apply(run_ended{RunOf(0, 1, 1), run_end::kFailed, ""});
+    EXPECT_EQ(s.FindJob("j")->CountAttempts({"j", 0, 0, 1}), run - 1);
+    s.Apply(run_ended{RunOf(0, run - 1, run), run_end::kFailed, ""});
+    s.Apply(run_ended{RunOf(0, 2 - run, run), run_end::kLeaseExpired, ""});
+  }
+  EXPECT_EQ(s.FindJob("j")->failure, job_failure::kAttempts);
+}
+
 // Guards against a cancelled job that gets new runs.
 TEST(WorkflowStateTest, ACancelledJobGetsNoRuns) {
   state s = MakeState({step{}});
