Poll an idle worker that did not confirm until it answers again

Cause: the poll before a suspected task marks a worker without an answer, which gets no tasks until it answers a poll. The monitor of an idle worker sends none until something wakes it, and nothing did.

Change: the failed confirmation wakes the monitor, which polls until the worker answers.

Evidence: worker_not_confirmed is the last line of the worker, and leader_load shows polls=0 with unanswering=1 from then on. CrashTest .AnIdleWorkerThatDidNotAnswerIsUsedAgain failed before; all 194 dispatch tests pass.

--- a/src/dispatch/crash_test.cpp
+++ b/src/dispatch/crash_test.cpp
@@ -457,6 +457,24 @@
   EXPECT_EQ(MaxStarts("sound"), 2u);
 }
 
+// Guards against an idle worker that is left out for good, as it did not answer
+// the poll before a suspected task (soak.py 12 5005 --deadly --shrink).
+TEST_F(CrashTest, AnIdleWorkerThatDidNotAnswerIsUsedAgain) {
+  const workflow::worker_key w1 = AddWorker("w1");
+  BeginTerm();
+  RunWithHeartbeats(seconds(1));
+  Submit("sound", {Step(1, 1'000)}, queue_);
+  event_log_.Apply(workflow::run_assigned{RunOf("sound", 0, 1), w1});
+  event_log_.Apply(
+      workflow::run_ended{RunOf("sound", 0, 1), run_end::kLostUnconfirmed, ""});
+  workers_.silent.insert(w1.id);
+  RunWithHeartbeats(seconds(2));
+  ASSERT_EQ(CountStarts("sound"), 0u);
+  workers_.silent.clear();
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(CountStarts("sound"), 1u);
+}
+
 // Guards against a count that begins again with each leader.
 TEST_F(CrashTest, ANewLeaderKnowsOfEarlierCrashes) {
   AddWorkers(6);
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -335,6 +335,9 @@
   const poll_outcome outcome = co_await Poll(monitor, core::milliseconds(0));
   if (outcome != poll_outcome::kAnswered || monitor->removed) {
     confirmation->all_answered = false;
+    // The monitor of an idle worker waits until it has something to do: it has
+    // to poll until the worker answers again.
+    monitor->wakeup.NotifyAll();
     spdlog::info("worker_not_confirmed worker={} born={}",
                  monitor->worker.key.id.v, monitor->worker.key.incarnation);
   }
