Keep a task suspected after a run that ended otherwise

Cause: a run that a failing worker ended before it could crash that worker cleared the suspicion. The next start was not preceded by a poll, so that its loss was no evidence: two starts went uncounted in place of one.

--- a/src/dispatch/crash_test.cpp
+++ b/src/dispatch/crash_test.cpp
@@ -475,6 +475,27 @@
   EXPECT_EQ(CountStarts("sound"), 1u);
 }
 
+// Guards against a start without evidence after each run that ended otherwise:
+// a worker that fails all tasks ends a run before it crashes its worker
+// (soak.py 12 5305 --deadly --failing --relay).
+TEST_F(CrashTest, AFailedRunDoesNotEndTheSuspicion) {
+  AddWorkers(8);
+  BeginTerm();
+  const auto crash = workers_.on_start;
+  workers_.on_start = [this, crash](const worker_target& to,
+                                    const start_order& order) -> order_result {
+    if (order.run.number != 2) return crash(to, order);
+    ++starts_per_task_[order.run.task];
+    workers_.End(to.key.id, order.run, run_end::kFailed);
+    return order_done{workers_.ClockMs()};
+  };
+  Submit("deadly", {Step(1, 1'000)}, queue_);
+  RunCell(seconds(40));
+  // The failed run is no crash.
+  EXPECT_LE(MaxStarts("deadly"), kMaxStarts + 1);
+  EXPECT_EQ(FailureOf("deadly"), workflow::job_failure::kWorkerCrashes);
+}
+
 // Guards against a count that begins again with each leader.
 TEST_F(CrashTest, ANewLeaderKnowsOfEarlierCrashes) {
   AddWorkers(6);
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -313,7 +313,9 @@
     }
     if (task.phase == workflow::task_phase::kWaiting && !is_placed) {
       waiting.indexes.push_back(id.index);
-      if (task.suspected) waiting.suspects.insert(id.index);
+      // The next loss has to be evidence, also if the last run was not lost.
+      const bool is_suspect = task.suspected || task.losses > 0;
+      if (is_suspect) waiting.suspects.insert(id.index);
     }
   }
   return waiting;
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -224,8 +224,9 @@
   if (IsSuspicious(event.ending)) {
     return CountLoss(job, task, event.ending, worker, worker_confirmed);
   }
+  // A run that ended otherwise may have done so before it crashed its worker.
+  if (event.ending == run_end::kLost) task.suspected = false;
   if (HadStarted(event.ending)) {
-    task.suspected = false;
     // Services run for weeks, in which workers crash for other reasons.
     if (step.long_running) {
       task.crashes = task.losses = 0;
