Log ends that a worker discarded before they were read

Change: run_missing has `born` and `started`; `ends_unread` lines and a counter for a gap in the numbers of the ends that an incarnation lists; `poll_unanswered` with what the poll acknowledged, once for each time that a worker falls silent. Conclusion: no change of behaviour. A run with `started=true how=not_started` after a poll_unanswered of the former incarnation tells hypothesis 1 and 2 from 3.

--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -25,6 +25,9 @@
             registry.Counter("mangoplank_workflow_workers_refused_total",
                              "Reports of workers that could not be registered "
                              "for lack of connections")),
+        ends_unread(registry.Counter(
+            "mangoplank_workflow_ends_unread_total",
+            "Ends of runs that a worker discarded before they were read")),
         leases_ended(registry.Counter(
             "mangoplank_workflow_leases_ended_total",
             "Leases that ended with runs on workers that sent heartbeats")),
@@ -61,6 +64,7 @@
   metrics::counter& starts;
   metrics::counter& workers_removed;
   metrics::counter& workers_refused;
+  metrics::counter& ends_unread;
   metrics::counter& leases_ended;
   metrics::counter& preempted;
   metrics::counter& eligibility_checks;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -163,6 +163,8 @@
   monitors.erase(tracked);
   if (registered == known.end()) return;
   AddWorker(registered->second, monitor->leased_at);
+  // No leader knew of this incarnation before, nor acknowledged its ends.
+  monitors[id]->listed_ends = 0;
   for (const auto& [run, former] : monitor->runs.Runs()) {
     TransferRun(id, run, former);
   }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -72,6 +72,9 @@
   bool synced = false;
   std::uint64_t recorded_ends = 0;
   std::uint64_t acknowledged_ends = 0;
+  /// Highest number of an end that the worker has listed. Unset until the first
+  /// one if an earlier leader may have acknowledged ends of this incarnation.
+  std::optional<std::uint64_t> listed_ends;
   std::uint64_t polls_sent = 0;
   std::uint64_t reports_received = 0;
   /// Whether the last poll had no answer.
@@ -190,6 +193,7 @@
   core::awaitable<bool> OnReport(std::shared_ptr<worker_monitor> monitor,
                                  std::uint64_t poll_number, bool overtaken,
                                  worker_report report);
+  void CheckEndNumbers(worker_monitor& monitor, const worker_report& report);
   std::vector<workflow::event> MissingRuns(const worker_monitor& monitor,
                                            std::uint64_t poll_number,
                                            const worker_report& report) const;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -295,6 +295,10 @@
   }
   if (!std::exchange(monitor->unanswered, true)) {
     monitor->unanswered_since = clock.Now();
+    // The poll may still be carried out, also by a later incarnation.
+    spdlog::info("poll_unanswered worker={} born={} term={} acknowledged={}",
+                 monitor->worker.key.id.v, monitor->worker.key.incarnation,
+                 term, acknowledged);
   }
   ++load.polls_unanswered;
   if (std::holds_alternative<other_incarnation>(result)) {
@@ -314,6 +318,7 @@
     std::shared_ptr<worker_monitor> monitor, std::uint64_t poll_number,
     bool overtaken, worker_report report) {
   UpdateClock(*monitor, report.clock_ms, reading_source::kAnswer);
+  CheckEndNumbers(*monitor, report);
   std::vector<workflow::event> events;
   std::uint64_t last = monitor->recorded_ends;
   for (const ended_run& ended : report.ended) {
@@ -389,6 +394,23 @@
   co_return true;
 }
 
+/// Logs a gap in the numbers of the ends that a worker lists: the ends before
+/// it were discarded, although no leader had read them.
+void dispatcher::impl::CheckEndNumbers(worker_monitor& monitor,
+                                       const worker_report& report) {
+  if (report.ended.empty()) return;
+  const std::uint64_t first = report.ended.front().number;
+  if (monitor.listed_ends && first > *monitor.listed_ends + 1) {
+    const std::uint64_t unread = first - *monitor.listed_ends - 1;
+    spdlog::warn("ends_unread worker={} born={} count={} first_listed={}",
+                 monitor.worker.key.id.v, monitor.worker.key.incarnation,
+                 unread, first);
+    stats.ends_unread.Add(unread);
+  }
+  monitor.listed_ends =
+      std::max(monitor.listed_ends.value_or(0), report.ended.back().number);
+}
+
 /// @return an event for each run that the worker should have and does not list.
 std::vector<workflow::event> dispatcher::impl::MissingRuns(
     const worker_monitor& monitor, std::uint64_t poll_number,
@@ -408,8 +430,12 @@
     if (!known || listed.contains(run)) continue;
     if (!event_log.State().IsAssigned(run)) continue;
     const auto ending = tracked.loss.value_or(workflow::run_end::kNotStarted);
-    spdlog::info("run_missing run={} worker={} how={}", Name(run),
-                 monitor.worker.key.id.v, Name(ending));
+    // `started` with `how=not_started` contradict each other: this incarnation
+    // has had the run, and its end was never listed.
+    spdlog::info("run_missing run={} worker={} born={} how={} started={}",
+                 Name(run), monitor.worker.key.id.v,
+                 monitor.worker.key.incarnation, Name(ending),
+                 tracked.started_at.has_value());
     events.emplace_back(workflow::run_ended{run, ending, {}});
   }
   return events;
