--- a/src/dispatch/dispatcher_fixture.h
+++ b/src/dispatch/dispatcher_fixture.h
@@ -31,6 +31,8 @@
   int lost_starts = 0;
   int lost_stops = 0;
   int lost_polls = 0;
+  /// Polls that acknowledge ends get no answer.
+  bool loses_acknowledgements = false;
 
   core::awaitable<order_result> Start(worker_target to, start_order order,
                                       core::milliseconds timeout) override {
@@ -63,8 +65,10 @@
 
   core::awaitable<poll_result> Poll(worker_target to, poll_order order,
                                     core::milliseconds timeout) override {
-    if (lost_polls > 0) {
-      --lost_polls;
+    const bool is_lost_acknowledgement =
+        loses_acknowledgements && order.recorded_ends > 0;
+    if (is_lost_acknowledgement || lost_polls > 0) {
+      if (!is_lost_acknowledgement) --lost_polls;
       polls.push_back(order);
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -95,6 +95,33 @@
     state.ended.push_back({state.next_end++, run, ending, checkpoint});
   }
 
+  /// Carries out what a poll changes at the worker, also one that had no
+  /// answer.
+  /// @return false if the worker refuses the poll's term.
+  bool CarryOut(const core::worker_id& worker, const poll_order& order) {
+    worker_state& state = states[worker];
+    if (!AcceptsTerm(state, order.term)) return false;
+    state.acknowledged_ends =
+        std::max(state.acknowledged_ends, order.recorded_ends);
+    if (order.lease_until_ms) state.lease_until_ms = *order.lease_until_ms;
+    std::erase_if(state.ended, [&](const ended_run& end) {
+      return end.number <= order.recorded_ends;
+    });
+    return true;
+  }
+  /// The same for a start.
+  bool CarryOut(const core::worker_id& worker, const start_order& order) {
+    worker_state& state = states[worker];
+    if (!AcceptsTerm(state, order.term)) return false;
+    state.running[order.run] = order.checkpoint;
+    return true;
+  }
+  /// The worker crashes and is there again under its id: it knows nothing.
+  void Restart(const core::worker_id& worker) {
+    states[worker] = {};
+    ++interruptions[worker];
+  }
+
   core::awaitable<order_result> Start(worker_target to, start_order order,
                                       core::milliseconds timeout) override {
     starts.push_back(order);
@@ -104,7 +131,9 @@
       co_return no_answer{};
     }
     if (on_start) co_return on_start(to, order);
-    states[to.key.id].running[order.run] = order.checkpoint;
+    if (!CarryOut(to.key.id, order)) {
+      co_return order_refused{refusal::kOutdatedTerm};
+    }
     co_return order_done{ClockMs()};
   }
   core::awaitable<order_result> Stop(worker_target to, stop_order order,
@@ -115,6 +144,9 @@
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
     }
+    if (!AcceptsTerm(states[to.key.id], order.term)) {
+      co_return order_refused{refusal::kOutdatedTerm};
+    }
     if (states[to.key.id].running.contains(order.run)) {
       End(to.key.id, order.run, workflow::run_end::kStopped, "saved");
     }
@@ -133,12 +165,9 @@
     if (is_named && named->second != to.key.incarnation) co_return no_answer{};
     const int interruptions_before = interruptions[to.key.id];
     worker_state& state = states[to.key.id];
-    state.term = std::max(state.term, order.term);
-    state.acknowledged_ends = order.recorded_ends;
-    if (order.lease_until_ms) state.lease_until_ms = *order.lease_until_ms;
-    std::erase_if(state.ended, [&](const ended_run& end) {
-      return end.number <= order.recorded_ends;
-    });
+    if (!CarryOut(to.key.id, order)) {
+      co_return order_refused{refusal::kOutdatedTerm};
+    }
     const core::time_point until = clock.Now() + order.wait;
     while (state.ended.empty() && clock.Now() < until) {
       co_await core::SleepFor(clock, core::milliseconds(20));
@@ -154,6 +183,14 @@
     report.names_incarnation = is_named;
     co_return report;
   }
+
+ private:
+  /// A worker refuses orders of a term below the highest that it has seen.
+  static bool AcceptsTerm(worker_state& state, core::term term) {
+    if (term < state.term) return false;
+    state.term = term;
+    return true;
+  }
 };
 
 /// Reports those of the given workers as eligible that are listed.
