Give each incarnation of a worker its own fence

Cause: an order outlives the incarnation that it was sent to. The fence of all orders of a term was the term, so that a poll without an answer was obeyed seconds later by the next incarnation, at the same address. What it acknowledged were numbers of ends of the former one; the next one numbers its ends anew and discarded ends that nobody had read. The leader took the runs for not started. Change: an order carries a fence made of the term and a count of the incarnations that the leader has come to know. The first order of an incarnation makes its worker refuse all that was sent to former ones, whatever its kind and way. The count is the leader's own: a later term is above it, and a worker that returns after its removal gets a higher one. Relays pass the number on as it is. A controller of earlier code is refused by workers that have had the higher fences, so that controllers are updated together.

--- a/include/mangoplank/workflow/orders.h
+++ b/include/mangoplank/workflow/orders.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPLANK_WORKFLOW_ORDERS_H_
 #define MANGOPLANK_WORKFLOW_ORDERS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,10 +15,30 @@
 /// the leader or from another control process that relays them.
 namespace mangoplank::workflow {
 
-/// Order to start a run. Like all orders it carries the leader's term: a worker
-/// refuses a term lower than the highest that it has seen.
+/// Orders everything that is sent to one worker: a worker refuses an order with
+/// a lower fence than the highest that it has seen. A term alone would not do:
+/// an order may be carried out seconds later, by the next incarnation of its
+/// worker, for which the numbers and the lease in it mean something else.
+struct fence {
+  std::uint64_t v = 0;
+
+  friend auto operator<=>(const fence&, const fence&) = default;
+};
+
+/// Fences of one term. With 2^33 terms they stay below 2^53, the largest whole
+/// number that every JSON reader holds exactly.
+inline constexpr std::uint64_t kFencesPerTerm = std::uint64_t{1} << 20;
+
+/// @param number of the incarnation in the order in which the leader of the
+/// term came to know of them. All above the last one of a term share its fence,
+/// so that none reaches into the next term.
+constexpr fence MakeFence(core::term term, std::uint64_t number) {
+  return {term * kFencesPerTerm + std::min(number, kFencesPerTerm - 1)};
+}
+
+/// Order to start a run.
 struct start_order {
-  core::term term = 0;
+  workflow::fence fence;
   workflow::run_id run;
   std::string payload;
   /// End of the lease on the worker's own clock, in milliseconds.
@@ -30,7 +51,7 @@
 
 /// Order to stop a run. A worker without the run refuses any later start of it.
 struct stop_order {
-  core::term term = 0;
+  workflow::fence fence;
   workflow::run_id run;
 
   friend bool operator==(const stop_order&, const stop_order&) = default;
@@ -38,8 +59,9 @@
 
 /// Renews the lease and reads which runs are active and which have ended.
 struct poll_order {
-  core::term term = 0;
-  /// Ends up to this number are recorded; the worker may discard them.
+  workflow::fence fence;
+  /// Ends up to this number are recorded, and the worker discards them; 0 for
+  /// none.
   std::uint64_t recorded_ends = 0;
   /// End of the lease on the worker's own clock; without one the lease stays.
   std::optional<std::int64_t> lease_until_ms;
@@ -50,8 +72,8 @@
 };
 
 enum class refusal : std::uint8_t {
-  /// The worker has seen a later term.
-  kOutdatedTerm,
+  /// The worker has seen a higher fence.
+  kOutdatedFence,
   /// The run was stopped or has ended on the worker.
   kOldRun,
   /// The lease in the order has expired.
@@ -65,9 +87,9 @@
 
 /// @return the name used in logs.
 constexpr std::string_view Name(refusal reason) {
-  constexpr std::string_view kNames[] = {"outdated_term", "old_run", "too_late",
-                                         "no_room",       "ticket",  "invalid",
-                                         "unhealthy"};
+  constexpr std::string_view kNames[] = {
+      "outdated_fence", "old_run", "too_late", "no_room",
+      "ticket",         "invalid", "unhealthy"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -208,8 +208,9 @@
     slot = free_slots.back();
     free_slots.pop_back();
   }
-  const auto monitor =
-      std::make_shared<worker_monitor>(worker, slot, executor, clock);
+  const auto monitor = std::make_shared<worker_monitor>(
+      worker, workflow::MakeFence(term, incarnation_count++), slot, executor,
+      clock);
   monitor->pool = &usable_pools[worker.pool];
   // An earlier leader may have renewed the lease until this term began.
   monitor->leased_at = leased_at;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -50,14 +50,19 @@
 
 /// The leader's view of one incarnation of a worker.
 struct worker_monitor {
-  worker_monitor(workflow::worker registered, worker_slot free_slot,
+  worker_monitor(workflow::worker registered, dispatch::fence own_fence,
+                 worker_slot free_slot,
                  const boost::asio::any_io_executor& executor,
                  core::clock& clock)
       : worker(std::move(registered)),
+        fence(own_fence),
         slot(free_slot),
         wakeup(executor, clock) {}
 
   workflow::worker worker;
+  /// Above those of all earlier incarnations, so that after its first answer
+  /// this one carries out no order that was sent to them.
+  const dispatch::fence fence;
   /// The pool of the worker, for rounds of placement.
   usable_pool* pool = nullptr;
   const worker_slot slot;
@@ -384,6 +389,9 @@
   /// By slot; null if the worker can't accept tasks.
   std::vector<usable_worker*> usable_by_slot;
   std::vector<worker_slot> free_slots;
+  /// Incarnations that this leader has come to know, also those that have
+  /// ended.
+  std::uint64_t incarnation_count = 0;
   std::map<step_key, eligibility_view> eligibility_by_step;
   std::map<step_key, std::map<core::worker_id, core::time_point>>
       failed_workers;
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -54,7 +54,7 @@
     std::vector<ended_run> ended;
     std::uint64_t next_end = 1;
     std::uint64_t acknowledged_ends = 0;
-    core::term term = 0;
+    workflow::fence fence;
     std::int64_t lease_until_ms = 0;
   };
   /// Decides the result of a start; by default it is carried out.
@@ -97,10 +97,10 @@
 
   /// Carries out what a poll changes at the worker, also one that had no
   /// answer.
-  /// @return false if the worker refuses the poll's term.
+  /// @return false if the worker refuses the poll's fence.
   bool CarryOut(const core::worker_id& worker, const poll_order& order) {
     worker_state& state = states[worker];
-    if (!AcceptsTerm(state, order.term)) return false;
+    if (!AcceptsFence(state, order.fence)) return false;
     state.acknowledged_ends =
         std::max(state.acknowledged_ends, order.recorded_ends);
     if (order.lease_until_ms) state.lease_until_ms = *order.lease_until_ms;
@@ -112,7 +112,7 @@
   /// The same for a start.
   bool CarryOut(const core::worker_id& worker, const start_order& order) {
     worker_state& state = states[worker];
-    if (!AcceptsTerm(state, order.term)) return false;
+    if (!AcceptsFence(state, order.fence)) return false;
     state.running[order.run] = order.checkpoint;
     return true;
   }
@@ -132,7 +132,7 @@
     }
     if (on_start) co_return on_start(to, order);
     if (!CarryOut(to.key.id, order)) {
-      co_return order_refused{refusal::kOutdatedTerm};
+      co_return order_refused{refusal::kOutdatedFence};
     }
     co_return order_done{ClockMs()};
   }
@@ -144,8 +144,8 @@
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
     }
-    if (!AcceptsTerm(states[to.key.id], order.term)) {
-      co_return order_refused{refusal::kOutdatedTerm};
+    if (!AcceptsFence(states[to.key.id], order.fence)) {
+      co_return order_refused{refusal::kOutdatedFence};
     }
     if (states[to.key.id].running.contains(order.run)) {
       End(to.key.id, order.run, workflow::run_end::kStopped, "saved");
@@ -166,7 +166,7 @@
     const int interruptions_before = interruptions[to.key.id];
     worker_state& state = states[to.key.id];
     if (!CarryOut(to.key.id, order)) {
-      co_return order_refused{refusal::kOutdatedTerm};
+      co_return order_refused{refusal::kOutdatedFence};
     }
     const core::time_point until = clock.Now() + order.wait;
     while (state.ended.empty() && clock.Now() < until) {
@@ -185,10 +185,10 @@
   }
 
  private:
-  /// A worker refuses orders of a term below the highest that it has seen.
-  static bool AcceptsTerm(worker_state& state, core::term term) {
-    if (term < state.term) return false;
-    state.term = term;
+  /// A worker refuses orders with a fence below the highest that it has seen.
+  static bool AcceptsFence(worker_state& state, workflow::fence fence) {
+    if (fence < state.fence) return false;
+    state.fence = fence;
     return true;
   }
 };
--- a/src/dispatch/late_order_test.cpp
+++ b/src/dispatch/late_order_test.cpp
@@ -120,5 +120,33 @@
   EXPECT_TRUE(workers_.states[kWorker].ended.empty());
 }
 
+// Guards against orders to a worker that was removed and has returned, or to
+// its next incarnation, that it refuses since it has had a higher fence.
+TEST_F(LateOrderTest, EachIncarnationHasAHigherFence) {
+  workflow::worker_key worker = AddWorker(kWorker.v, 1);
+  AddWorker("w2");
+  BeginTerm();
+  RunWithHeartbeats(kPollTime);
+  fence highest = workers_.states[kWorker].fence;
+  for (core::wall_time_ms incarnation = 1; incarnation <= 3; ++incarnation) {
+    event_log_.Apply(workflow::worker_removed{worker});
+    RunWithHeartbeats(kPollTime);
+    worker = AddWorker(kWorker.v, incarnation);
+    RunWithHeartbeats(kPollTime);
+    EXPECT_GT(workers_.states[kWorker].fence, highest);
+    highest = workers_.states[kWorker].fence;
+  }
+  EXPECT_LT(highest, workflow::MakeFence(kTerm + 1, 0));
+}
+
+// Guards against a leader whose orders are refused since the one before it has
+// known more incarnations than a term has fences.
+TEST(FenceTest, ALaterTermIsAboveAllIncarnationsOfAnEarlierOne) {
+  using workflow::kFencesPerTerm;
+  using workflow::MakeFence;
+  EXPECT_LT(MakeFence(4, kFencesPerTerm - 2), MakeFence(4, kFencesPerTerm - 1));
+  EXPECT_LT(MakeFence(4, 2 * kFencesPerTerm), MakeFence(5, 0));
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -265,7 +265,7 @@
 
 awaitable<poll_outcome> dispatcher::impl::Poll(
     std::shared_ptr<worker_monitor> monitor, core::milliseconds wait) {
-  poll_order order{term, monitor->recorded_ends, std::nullopt, wait};
+  poll_order order{monitor->fence, monitor->recorded_ends, std::nullopt, wait};
   // A poll without an answer may have been carried out. The lease is not
   // renewed after it, so that the lease expires while the worker is silent.
   if (!monitor->runs.IsEmpty() && !monitor->unanswered &&
@@ -296,9 +296,9 @@
   if (!std::exchange(monitor->unanswered, true)) {
     monitor->unanswered_since = clock.Now();
     // The poll may still be carried out, also by a later incarnation.
-    spdlog::info("poll_unanswered worker={} born={} term={} acknowledged={}",
+    spdlog::info("poll_unanswered worker={} born={} fence={} acknowledged={}",
                  monitor->worker.key.id.v, monitor->worker.key.incarnation,
-                 term, acknowledged);
+                 monitor->fence.v, acknowledged);
   }
   ++load.polls_unanswered;
   if (std::holds_alternative<other_incarnation>(result)) {
@@ -306,8 +306,9 @@
     co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
                           std::move(reason));
   } else if (std::holds_alternative<order_refused>(result)) {
-    spdlog::warn("poll_refused worker={} term={}", monitor->worker.key.id.v,
-                 term);
+    spdlog::warn("poll_refused worker={} born={} fence={}",
+                 monitor->worker.key.id.v, monitor->worker.key.incarnation,
+                 monitor->fence.v);
   }
   co_return poll_outcome::kUnanswered;
 }
@@ -457,7 +458,7 @@
     co_return false;
   }
   // Neither renews the lease nor acknowledges more than is recorded.
-  const poll_order order{term, monitor->recorded_ends, std::nullopt,
+  const poll_order order{monitor->fence, monitor->recorded_ends, std::nullopt,
                          core::milliseconds(0)};
   const worker_target to = TargetOf(*monitor, order_route::kDirect);
   const auto result = co_await workers.Poll(to, order, kConfirmationTimeout);
--- a/src/wire/convert_workflow_orders.cpp
+++ b/src/wire/convert_workflow_orders.cpp
@@ -42,7 +42,7 @@
 
 static void WriteOrder(const workflow::start_order& value,
                        schema::OrderRequest::Builder builder) {
-  builder.setTerm(value.term);
+  builder.setFence(value.fence.v);
   auto g = builder.initStart();
   Write(value.run, g.initRun());
   g.setPayload(Data(value.payload));
@@ -52,12 +52,12 @@
 }
 static void WriteOrder(const workflow::stop_order& value,
                        schema::OrderRequest::Builder builder) {
-  builder.setTerm(value.term);
+  builder.setFence(value.fence.v);
   Write(value.run, builder.initStop());
 }
 static void WriteOrder(const workflow::poll_order& value,
                        schema::OrderRequest::Builder builder) {
-  builder.setTerm(value.term);
+  builder.setFence(value.fence.v);
   auto g = builder.initPoll();
   g.setRecordedEnds(value.recorded_ends);
   g.setRenewsLease(value.lease_until_ms.has_value());
@@ -72,7 +72,7 @@
     case OrderRequest::START: {
       const auto g = reader.getStart();
       workflow::start_order value;
-      value.term = reader.getTerm();
+      value.fence.v = reader.getFence();
       Read(g.getRun(), value.run, budget);
       value.payload = String(g.getPayload());
       value.lease_until_ms = g.getLeaseUntilMs();
@@ -82,14 +82,14 @@
     }
     case OrderRequest::STOP: {
       workflow::stop_order value;
-      value.term = reader.getTerm();
+      value.fence.v = reader.getFence();
       Read(reader.getStop(), value.run, budget);
       return value;
     }
     case OrderRequest::POLL: {
       const auto g = reader.getPoll();
       workflow::poll_order value;
-      value.term = reader.getTerm();
+      value.fence.v = reader.getFence();
       value.recorded_ends = g.getRecordedEnds();
       if (g.getRenewsLease()) value.lease_until_ms = g.getRenewedUntilMs();
       value.wait = core::milliseconds(g.getWaitMs());
