Acknowledge ends only to a worker that has just answered

Cause: every poll acknowledged all recorded ends again, also the further tries of a poll without an answer, and the check whether a registered incarnation still answers, which goes out at each report of a new one. All of them may reach the next incarnation, whose first ends have the same numbers. Change: an acknowledgement is sent once for new ends, and only in a poll that follows an answer; further tries and the check carry none. Whether it was carried out is read from the next list of ends, as another try may have been answered.

--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -193,6 +193,7 @@
   core::awaitable<poll_result> SendPoll(std::shared_ptr<worker_monitor> monitor,
                                         poll_order order);
   void ResolveExpiredStarts(worker_monitor& monitor) const;
+  std::uint64_t EndsToAcknowledge(const worker_monitor& monitor) const;
   core::awaitable<poll_outcome> Poll(std::shared_ptr<worker_monitor> monitor,
                                      core::milliseconds wait);
   core::awaitable<bool> OnReport(std::shared_ptr<worker_monitor> monitor,
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -228,7 +228,8 @@
 }
 
 /// Sends a poll, again and without a wait while it has no answer: a lost answer
-/// hides ends. The lease is the same in all tries.
+/// hides ends. The lease is the same in all tries. Only the first one
+/// acknowledges ends: the worker may have crashed since.
 awaitable<poll_result> dispatcher::impl::SendPoll(
     std::shared_ptr<worker_monitor> monitor, poll_order order) {
   const auto self = shared_from_this();
@@ -237,7 +238,10 @@
   const auto send = [self, monitor, order](core::milliseconds timeout,
                                            bool is_repeated) {
     poll_order next = order;
-    if (is_repeated) next.wait = core::milliseconds(0);
+    if (is_repeated) {
+      next.wait = core::milliseconds(0);
+      next.recorded_ends = 0;
+    }
     ++self->load.polls;
     return self->workers.Poll(
         self->TargetOf(*monitor, self->RouteOf(is_repeated)), next, timeout);
@@ -263,9 +267,20 @@
   }
 }
 
+/// A worker discards the ends that a poll acknowledges, also the next
+/// incarnation, which numbers its ends anew. So only a poll that follows an
+/// answer acknowledges ends, and only if there are new ones.
+/// @return the number up to which ends are acknowledged; 0 for none.
+std::uint64_t dispatcher::impl::EndsToAcknowledge(
+    const worker_monitor& monitor) const {
+  const bool has_new = monitor.recorded_ends > monitor.acknowledged_ends;
+  return has_new && !monitor.unanswered ? monitor.recorded_ends : 0;
+}
+
 awaitable<poll_outcome> dispatcher::impl::Poll(
     std::shared_ptr<worker_monitor> monitor, core::milliseconds wait) {
-  poll_order order{monitor->fence, monitor->recorded_ends, std::nullopt, wait};
+  poll_order order{monitor->fence, EndsToAcknowledge(*monitor), std::nullopt,
+                   wait};
   // A poll without an answer may have been carried out. The lease is not
   // renewed after it, so that the lease expires while the worker is silent.
   if (!monitor->runs.IsEmpty() && !monitor->unanswered &&
@@ -274,7 +289,7 @@
   }
   ResolveExpiredStarts(*monitor);
   const std::uint64_t poll_number = ++monitor->polls_sent;
-  const std::uint64_t acknowledged = order.recorded_ends;
+  const std::uint64_t recorded_before = monitor->recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
   auto result = co_await SendPoll(monitor, order);
   if (stopped || monitor->removed) co_return poll_outcome::kUnanswered;
@@ -283,8 +298,13 @@
     co_return poll_outcome::kNotSent;
   }
   if (auto* const report = std::get_if<worker_report>(&result)) {
-    monitor->acknowledged_ends =
-        std::max(monitor->acknowledged_ends, acknowledged);
+    // Another try than the one that acknowledged them may have been answered.
+    const bool lists_recorded = !report->ended.empty() &&
+                                report->ended.front().number <= recorded_before;
+    if (!lists_recorded) {
+      monitor->acknowledged_ends =
+          std::max(monitor->acknowledged_ends, recorded_before);
+    }
     monitor->unanswered = false;
     if (std::exchange(monitor->has_lapsed, false)) NoteOrderFailure(*monitor);
     const bool overtaken = monitor->reports_received != reports_before;
@@ -298,7 +318,7 @@
     // The poll may still be carried out, also by a later incarnation.
     spdlog::info("poll_unanswered worker={} born={} fence={} acknowledged={}",
                  monitor->worker.key.id.v, monitor->worker.key.incarnation,
-                 monitor->fence.v, acknowledged);
+                 monitor->fence.v, order.recorded_ends);
   }
   ++load.polls_unanswered;
   if (std::holds_alternative<other_incarnation>(result)) {
@@ -457,8 +477,9 @@
   if (monitor == nullptr || monitor->removed || monitor->unanswered) {
     co_return false;
   }
-  // Neither renews the lease nor acknowledges more than is recorded.
-  const poll_order order{monitor->fence, monitor->recorded_ends, std::nullopt,
+  // Neither renews the lease nor acknowledges ends: it may reach the next
+  // incarnation.
+  const poll_order order{monitor->fence, 0, std::nullopt,
                          core::milliseconds(0)};
   const worker_target to = TargetOf(*monitor, order_route::kDirect);
   const auto result = co_await workers.Poll(to, order, kConfirmationTimeout);
