Test messages that outlive the numbering they belong to

What callers would see: TWICE, a dead worker that is registered again, or a running task that is stopped, if a message of a former incarnation, an earlier announcement or a former connection arrives after its numbering has begun anew.

The tests play such a message for each number that was only protected by reading: acknowledgements, sequences of reports and announcements, leases, tickets, run numbers, ids of orders and requests.

Change: tests only.

--- a/src/dispatch/eligibility_checks_test.cpp
+++ b/src/dispatch/eligibility_checks_test.cpp
@@ -20,6 +20,26 @@
   EXPECT_EQ(workers_.starts.size(), 1u);
 }
 
+// Guards against a ticket of a former incarnation: the call for advice was sent
+// before the worker restarted, and answered after that.
+TEST_F(EligibilityTest, AnAnswerAboutAFormerIncarnationGivesNoTicket) {
+  AddWorker("w1");
+  queue_.eligibility = workflow::eligibility_policy{10, 1, 60'000};
+  eligibility_.eligible = {{"w1"}};
+  eligibility_.clock = &clock_;
+  eligibility_.delay = seconds(1);
+  BeginTerm();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(milliseconds(300));
+  ASSERT_EQ(eligibility_.checks.size(), 1u);
+  AddWorker("w1", 2);
+  RunWithHeartbeats(milliseconds(800));
+  EXPECT_TRUE(workers_.starts.empty());
+  RunWithHeartbeats(seconds(2));
+  EXPECT_EQ(eligibility_.checks.size(), 2u);
+  EXPECT_EQ(workers_.starts.size(), 1u);
+}
+
 // Guards against starts on workers that may not run the step, and starts
 // without a ticket.
 TEST_F(EligibilityTest, StartsOnlyOnEligibleWorkersWithTheirTicket) {
--- a/src/dispatch/relayed_worker_port_test.cpp
+++ b/src/dispatch/relayed_worker_port_test.cpp
@@ -152,6 +152,31 @@
   EXPECT_EQ(WorkerOf(RunOf("j", 0, 1)).v, "w1");
 }
 
+// Guards against an answer that a lost relay still sends, and that is taken for
+// the answer to a later order: the worker would be removed under its run.
+TEST_F(RelayTest, AnAnswerOfALostRelayIsIgnored) {
+  AddWorker("w1");
+  BeginRelayedTerm();
+  ConnectRelay();
+  RunWithHeartbeats(seconds(1));
+  is_paused_ = true;
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunFor(milliseconds(50));
+  ASSERT_FALSE(requests_.empty());
+  const std::vector<workflow::order_request> lost = requests_;
+  relay_.reset();
+  is_paused_ = false;
+  ConnectRelay();
+  RunFor(milliseconds(50));
+  for (const workflow::order_request& request : lost) {
+    port_.OnReply({request.id, other_incarnation{}});
+  }
+  RunWithHeartbeats(seconds(2));
+  EXPECT_TRUE(event_log_.state.Workers().contains({"w1"}));
+  EXPECT_EQ(CountStarts("j"), 1u);
+  EXPECT_TRUE(workers_.states[{"w1"}].running.contains(RunOf("j", 0, 1)));
+}
+
 // Guards against a worker that is taken for silent, and loses its tasks, as the
 // relay to it is paused.
 TEST_F(RelayTest, APausedRelayDoesNotMakeItsWorkersSilent) {
--- a/src/dispatch/service_test.cpp
+++ b/src/dispatch/service_test.cpp
@@ -255,5 +255,37 @@
   }
 }
 
+// Guards against a worker that was removed and is registered again by a report
+// from before its loss: it would get orders, and the losses that count against
+// the tasks which crash their workers would be taken back.
+TEST_F(ServiceTest, ALateReportDoesNotBringARemovedWorkerBack) {
+  workflow::worker_heartbeat heartbeat;
+  heartbeat.worker.key = {{"w"}, 5};
+  heartbeat.worker.report_sequence = 7;
+  workers_.silent.insert({"w"});
+  EXPECT_EQ(Handle(heartbeat), accepted_);
+  cluster_.RunFor(seconds(20));
+  ASSERT_EQ(KnownIncarnation(), 0);
+  heartbeat.worker.report_sequence = 3;
+  EXPECT_EQ(Handle(heartbeat), accepted_);
+  EXPECT_EQ(KnownIncarnation(), 0);
+  // The worker was only cut off.
+  heartbeat.worker.report_sequence = 8;
+  EXPECT_EQ(Handle(heartbeat), accepted_);
+  EXPECT_EQ(KnownIncarnation(), 5);
+}
+
+// Guards against an earlier incarnation that is registered by its late report,
+// after the later one has been removed.
+TEST_F(ServiceTest, ALateReportOfAFormerIncarnationRegistersNothing) {
+  workers_.silent.insert({"w"});
+  EXPECT_EQ(Report(5), accepted_);
+  EXPECT_EQ(Report(6), accepted_);
+  cluster_.RunFor(seconds(20));
+  ASSERT_EQ(KnownIncarnation(), 0);
+  EXPECT_EQ(Report(5), accepted_);
+  EXPECT_EQ(KnownIncarnation(), 0);
+}
+
 }  // namespace
 }  // namespace mangoplank::dispatch
--- a/src/membership/lease_table_test.cpp
+++ b/src/membership/lease_table_test.cpp
@@ -73,6 +73,22 @@
       leases_.Admit(state_, restarted, now_)));
 }
 
+// Guards against a dead worker that gets tasks: a process that was paused
+// passes its announcement on after it was removed with its lease. A task that
+// may not be run twice would end as unknown without having run.
+TEST_F(LeaseTableTest, ALateAnnouncementDoesNotBringARemovedWorkerBack) {
+  leases_.Reset(state_, now_);
+  const auto expired = leases_.FindExpired(state_, now_ + 12s);
+  ASSERT_EQ(expired.size(), 1u);
+  Apply(expired[0]);
+  EXPECT_FALSE(std::holds_alternative<needs_registration>(
+      leases_.Admit(state_, Announcement({}), now_ + 12s)));
+  control::announcement restarted = Announcement({});
+  restarted.worker.incarnation = 2;
+  EXPECT_TRUE(std::holds_alternative<needs_registration>(
+      leases_.Admit(state_, restarted, now_ + 12s)));
+}
+
 TEST_F(LeaseTableTest, StartOrderIsRepeatedUntilTheWorkerKnowsTheTask) {
   const auto orders = OrdersFor(state_, Announcement({}));
   ASSERT_EQ(orders.size(), 1u);
@@ -81,6 +97,20 @@
                   .empty());
 }
 
+// Guards against a stop order for a task that runs: an announcement from before
+// its start arrives late, through another entry, and does not list the task.
+TEST_F(LeaseTableTest, AnAnnouncementThatWasOvertakenGetsNoOrders) {
+  leases_.Reset(state_, now_);
+  control::announcement newest = Announcement(task_phase::kRunning);
+  newest.sequence = 2;
+  leases_.Renew(newest, now_);
+  control::announcement late = Announcement({});
+  late.sequence = 1;
+  EXPECT_FALSE(
+      std::holds_alternative<admitted>(leases_.Admit(state_, late, now_)));
+  EXPECT_EQ(leases_.Admit(state_, newest, now_), admission(admitted{}));
+}
+
 TEST_F(LeaseTableTest, OveruseIsThrottledToTheDeclaredNeed) {
   const auto orders =
       OrdersFor(state_, Announcement(task_phase::kRunning, {1100, 1, 0}));
--- a/src/workflow/client_test.cpp
+++ b/src/workflow/client_test.cpp
@@ -35,11 +35,16 @@
         return wire::DecodeWorkflowMessage(*frame, wire::Malformed("client"));
       });
       const std::uint64_t id = std::get<request>(*decoded).id;
+      if (repeats_answers_) {
+        connection->Send(wire::Encode(message(answer{id - 1, accepted{}})));
+      }
       connection->Send(wire::Encode(message(answer{id, refusal_})));
     }
   }
 
   answer_body refusal_ = core::failure(core::not_leader{});
+  /// Each answer follows one to the request before, of an earlier connection.
+  bool repeats_answers_ = false;
   int requests_ = 0;
 };
 
@@ -71,6 +76,29 @@
   }
 }
 
+// Guards against an answer to a request of a former connection that is taken
+// for the answer to the present one: a refused job would be shown as accepted.
+TEST_F(client_test, AnAnswerToAFormerRequestIsIgnored) {
+  wire::listener leader(
+      Context(), [this](auto c) { return Serve(std::move(c)); }, 4);
+  ASSERT_TRUE(leader.Start({"127.0.0.1", 0}));
+  client_settings s;
+  s.name = "test";
+  s.port = leader.Port();
+  const std::vector<core::endpoint> seeds{{"127.0.0.1", leader.Port()}};
+  client c(s, Context(), [&] { return seeds; }, {});
+  c.Start();
+  repeats_answers_ = true;
+  refusal_ = core::failure(core::not_found{});
+  Run([](client_test& test, client& tested) -> core::awaitable<void> {
+    request_body r = submit_job{};
+    const auto a =
+        co_await tested.Request(std::move(r), test.clock_.Now() + 1s);
+    EXPECT_GT(test.requests_, 1);
+    EXPECT_TRUE(std::holds_alternative<core::failure>(a));
+  }(*this, c));
+}
+
 /// Control processes on loopback addresses, with one port as in a cell. They
 /// report the members they are given, and close all connections when they stop.
 class members_test : public wire::loop_test {
