Acknowledge ends in one open poll at a time

A task that ended as done in a worker's next incarnation is started again, without any late order.

Cause: the poll that follows a start without an answer acknowledged the same ends as the long poll that was still open. At this time the worker may have crashed and be there again under its id, before it is announced: it discards its own first ends, which nobody has read.

Change: a poll acknowledges ends only if no other poll that does so is open.

Conclusion: each end is acknowledged by one order at a time. An order that is the first after a crash may still carry the acknowledgement: it can't be known.

--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -77,6 +77,8 @@
   bool synced = false;
   std::uint64_t recorded_ends = 0;
   std::uint64_t acknowledged_ends = 0;
+  /// A poll that acknowledges ends is open.
+  bool acknowledging = false;
   /// Highest number of an end that the worker has listed. Unset until the first
   /// one if an earlier leader may have acknowledged ends of this incarnation.
   std::optional<std::uint64_t> listed_ends;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -269,12 +269,14 @@
 
 /// A worker discards the ends that a poll acknowledges, also the next
 /// incarnation, which numbers its ends anew. So only a poll that follows an
-/// answer acknowledges ends, and only if there are new ones.
+/// answer acknowledges ends, only if there are new ones, and only one poll at a
+/// time.
 /// @return the number up to which ends are acknowledged; 0 for none.
 std::uint64_t dispatcher::impl::EndsToAcknowledge(
     const worker_monitor& monitor) const {
   const bool has_new = monitor.recorded_ends > monitor.acknowledged_ends;
-  return has_new && !monitor.unanswered ? monitor.recorded_ends : 0;
+  const bool may_acknowledge = !monitor.unanswered && !monitor.acknowledging;
+  return has_new && may_acknowledge ? monitor.recorded_ends : 0;
 }
 
 awaitable<poll_outcome> dispatcher::impl::Poll(
@@ -291,7 +293,10 @@
   const std::uint64_t poll_number = ++monitor->polls_sent;
   const std::uint64_t recorded_before = monitor->recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
+  const bool acknowledges = order.recorded_ends > 0;
+  if (acknowledges) monitor->acknowledging = true;
   auto result = co_await SendPoll(monitor, order);
+  if (acknowledges) monitor->acknowledging = false;
   if (stopped || monitor->removed) co_return poll_outcome::kUnanswered;
   if (std::holds_alternative<not_sent>(result)) {
     ++load.not_sent;
