Register no removed worker again by a late report

What callers would see: a worker that was lost or has left is registered again for a lease, counts as one of the workers that are allowed, and the losses that count against a task which crashes its workers are taken back, so that it crashes more of them.

Cause: a report of a worker that isn't registered was recorded whatever its sequence. IsLate only kept it from counting as a sign of life.

Change: it registers nothing if its sequence is below that of a report which this leader has had of the incarnation. A worker that was only cut off returns with its next report, which has a higher sequence.

Measured: ServiceTest.ALateReportDoesNotBringARemovedWorkerBack failed on the commit before (incarnation 5 was known again) and passes, also its last part, in which the worker returns.

Conclusion: sequences are kept for 60 s by one process. A new leader, and a late report with the highest sequence, can't tell it from a return.

--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -308,15 +308,17 @@
   if (newest.worker.key.incarnation > key.incarnation) {
     co_return workflow::accepted{};
   }
-  const bool is_refused = registered == nullptr && newest.recording == 0 &&
-                          known.size() >= settings.max_workers;
+  const bool is_late = IsLate(request.worker, newest.worker);
+  const bool is_new = registered == nullptr && newest.recording == 0;
+  // It was sent before the worker was removed, and does not show its return.
+  if (is_new && is_late) co_return workflow::accepted{};
+  const bool is_refused = is_new && known.size() >= settings.max_workers;
   if (is_refused) {
     if (active_dispatcher) active_dispatcher->OnWorkerRefused();
     co_return core::failure(core::unavailable{fmt::format(
         "{} workers are registered, and there are no connections for more",
         known.size())});
   }
-  const bool is_late = IsLate(request.worker, newest.worker);
   newest.worker = Merge(std::move(newest.worker), std::move(request.worker));
   newest.received_at = clock.Now();
   // While an announcement is being recorded, the state is not the latest yet.
