Refuse announcements of a worker that was removed with its lease

What callers would see: a task that may not be run twice ends as unknown although no worker has had it, and others wait for a lease. They were placed on a worker that had died before.

Cause: an announcement of a worker that isn't registered registered it. An entry that was paused passes on announcements that it received before, also of an incarnation whose lease has ended meanwhile. By the worker protocol such an incarnation never returns.

Change: the lease table remembers the incarnation, and refuses it. The reply grants no lease, so that a worker that is there after all announces itself under a new incarnation.

Conclusion: holds at the leader that granted the lease; a later one doesn't know of it.

--- a/include/mangoplank/membership/lease_table.h
+++ b/include/mangoplank/membership/lease_table.h
@@ -42,8 +42,12 @@
   core::milliseconds retry_after{0};
   friend bool operator==(const name_in_use&, const name_in_use&) = default;
 };
-using admission =
-    std::variant<admitted, needs_registration, superseded, name_in_use>;
+/// The worker was removed with its lease. It returns under a later incarnation.
+struct lease_ended {
+  friend bool operator==(const lease_ended&, const lease_ended&) = default;
+};
+using admission = std::variant<admitted, needs_registration, superseded,
+                               name_in_use, lease_ended>;
 
 /// Leases of all workers, held by the leader and renewed by announcements. They
 /// are not replicated, so a new leader first grants each worker a full lease.
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -64,6 +64,11 @@
                    sink->Post(reply_batch{{refusal}});
                    return false;
                  },
+                 [&](const membership::lease_ended&) {
+                   // The reply grants no lease.
+                   sink->Post(reply_batch{{refusal}});
+                   return false;
+                 },
                  [&](const membership::name_in_use&) {
                    spdlog::warn("worker {}: name is in use by another VM",
                                 received_announcement.worker.id.v);
--- a/src/membership/lease_table.cpp
+++ b/src/membership/lease_table.cpp
@@ -97,7 +97,16 @@
                              core::time_point now) const {
   const cell::worker_record* const known =
       state.FindWorker(announcement.worker.id);
-  if (!known) return needs_registration{{announcement.worker}};
+  const auto held = leases_.find(announcement.worker.id);
+  if (!known) {
+    // Its announcement may be late: a worker whose lease has ended announces
+    // itself under a new incarnation.
+    const bool has_ended =
+        held != leases_.end() && held->second.end <= now &&
+        announcement.worker.incarnation <= held->second.incarnation;
+    if (has_ended) return lease_ended{};
+    return needs_registration{{announcement.worker}};
+  }
   if (announcement.worker.incarnation < known->incarnation) return superseded{};
   cell::register_worker registration{announcement.worker};
   registration.worker.drain = announcement.leaving;
@@ -105,7 +114,6 @@
   if (HasSameRegistration(*known, announcement.worker) && !starts_leaving) {
     return admitted{};
   }
-  const auto held = leases_.find(announcement.worker.id);
   const bool is_other_vm = known->address != announcement.worker.address;
   // A restart keeps its address and proves that the old process has ended;
   // another address may be a second worker with the same name.
