Drop announcements that a later one has overtaken

What callers would see: a running task is stopped; one that may not be run twice ends as stopped.

Cause: announcements of a worker may reach the leader through two entries. One from before a start that arrives after the next doesn't list the task, which the log shows as running, and its reply orders the stop. The worker carries it out if it still waits for that reply.

Change: the lease table keeps the newest sequence of each incarnation, and the leader drops announcements with a lower one.

Conclusion: a new leader knows no sequences until the first announcement of each worker.

--- a/include/mangoplank/membership/lease_table.h
+++ b/include/mangoplank/membership/lease_table.h
@@ -42,12 +42,17 @@
   core::milliseconds retry_after{0};
   friend bool operator==(const name_in_use&, const name_in_use&) = default;
 };
+/// A later announcement of the same incarnation was received before; this one
+/// says nothing of the worker's present tasks.
+struct overtaken {
+  friend bool operator==(const overtaken&, const overtaken&) = default;
+};
 /// The worker was removed with its lease. It returns under a later incarnation.
 struct lease_ended {
   friend bool operator==(const lease_ended&, const lease_ended&) = default;
 };
 using admission = std::variant<admitted, needs_registration, superseded,
-                               name_in_use, lease_ended>;
+                               name_in_use, overtaken, lease_ended>;
 
 /// Leases of all workers, held by the leader and renewed by announcements. They
 /// are not replicated, so a new leader first grants each worker a full lease.
@@ -78,6 +83,8 @@
   struct lease {
     core::incarnation incarnation = 0;
     core::time_point end;
+    /// Of the newest announcement of the incarnation; 0 if none was received.
+    std::uint64_t sequence = 0;
   };
   core::duration FullLease() const;
 
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -64,6 +64,7 @@
                    sink->Post(reply_batch{{refusal}});
                    return false;
                  },
+                 [](const membership::overtaken&) { return false; },
                  [&](const membership::lease_ended&) {
                    // The reply grants no lease.
                    sink->Post(reply_batch{{refusal}});
--- a/src/membership/lease_table.cpp
+++ b/src/membership/lease_table.cpp
@@ -1,5 +1,7 @@
 #include "mangoplank/membership/lease_table.h"
 
+#include <algorithm>
+
 namespace mangoplank::membership {
 
 using cell::task_phase;
@@ -88,7 +90,7 @@
 void lease_table::Reset(const cell::state& state, core::time_point now) {
   leases_.clear();
   for (const auto& [id, worker] : state.Workers()) {
-    leases_[id] = {worker.incarnation, now + FullLease()};
+    leases_[id] = {worker.incarnation, now + FullLease(), 0};
   }
 }
 
@@ -108,6 +110,11 @@
     return needs_registration{{announcement.worker}};
   }
   if (announcement.worker.incarnation < known->incarnation) return superseded{};
+  const bool is_overtaken =
+      held != leases_.end() &&
+      held->second.incarnation == announcement.worker.incarnation &&
+      announcement.sequence < held->second.sequence;
+  if (is_overtaken) return overtaken{};
   cell::register_worker registration{announcement.worker};
   registration.worker.drain = announcement.leaving;
   const bool starts_leaving = announcement.leaving && !known->drain;
@@ -129,8 +136,14 @@
                         core::time_point received) {
   lease& held = leases_[announcement.worker.id];
   const core::time_point end = received + FullLease();
-  const bool newer = announcement.worker.incarnation > held.incarnation;
-  if (newer || end > held.end) held = {announcement.worker.incarnation, end};
+  const core::incarnation incarnation = announcement.worker.incarnation;
+  std::uint64_t sequence = announcement.sequence;
+  if (incarnation == held.incarnation) {
+    sequence = std::max(sequence, held.sequence);
+  }
+  const bool newer = incarnation > held.incarnation;
+  if (newer || end > held.end) held = {incarnation, end, sequence};
+  if (incarnation == held.incarnation) held.sequence = sequence;
 }
 
 std::vector<cell::remove_worker> lease_table::FindExpired(
