Name a run whose end was discarded before it was read

Cause: a run that its worker had confirmed and then listed neither as running nor as ended was taken for one that had never started. Change: such a run ends as end_unread. Its task starts again: the run may have succeeded, but without a further run its job has no truthful end. A run that moves to the next incarnation of its worker does not count as started there until that one lists it.

--- a/include/mangoplank/workflow/types.h
+++ b/include/mangoplank/workflow/types.h
@@ -193,9 +193,13 @@
   /// The worker was lost, and nothing shows that it was alive when the start
   /// order was sent, or that it had the run.
   kLostUnconfirmed,
+  /// The worker has had the run and lists neither it nor its end, which it has
+  /// discarded unread. The run may have succeeded.
+  kEndUnread,
 };
+inline constexpr run_end kLastRunEnd = run_end::kEndUnread;
 inline constexpr std::size_t kRunEndCount =
-    static_cast<std::size_t>(run_end::kLostUnconfirmed) + 1;
+    static_cast<std::size_t>(kLastRunEnd) + 1;
 
 /// @return whether a run with this end is known to have started.
 constexpr bool HadStarted(run_end ending) {
@@ -239,7 +243,8 @@
   constexpr std::string_view kNames[kRunEndCount] = {
       "done",        "failed",  "stopped",          "lapsed",
       "broken",      "alone",   "not_started",      "worker_lost",
-      "unreachable", "crashed", "crashed_at_start", "lost_unconfirmed"};
+      "unreachable", "crashed", "crashed_at_start", "lost_unconfirmed",
+      "end_unread"};
   return kNames[static_cast<std::size_t>(ending)];
 }
 constexpr std::string_view Name(job_phase phase) {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -186,6 +186,7 @@
   const auto& monitor = monitors[id];
   tracked_run transferred = previous;
   transferred.stopping = false;
+  transferred.started_at.reset();
   tracked_run& tracked = monitor->runs.Add(run, std::move(transferred));
   run_monitors[run] = monitor;
   if (previous.resolved_after_poll && !previous.stopping &&
--- a/src/dispatch/late_order_test.cpp
+++ b/src/dispatch/late_order_test.cpp
@@ -120,6 +120,23 @@
   EXPECT_TRUE(workers_.states[kWorker].ended.empty());
 }
 
+// Guards against a job that never ends, and against logs that tell a run whose
+// end was discarded from one that was never started as the same.
+TEST_F(LateOrderTest, ARunWhoseEndWasDiscardedUnreadStartsAgain) {
+  AddWorker(kWorker.v, 1);
+  BeginTerm();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(kPollTime);
+  workers_.End(kWorker, RunOf("j", 0, 1), run_end::kDone);
+  workers_.states[kWorker].ended.clear();
+  RunWithHeartbeats(kSettleTime);
+  EXPECT_EQ(CountStarts("j"), 2u);
+  const auto& counter = registry_.Counter(
+      "mangoplank_workflow_runs_ended_total", "Ended runs by how they ended",
+      {{"how", "end_unread"}});
+  EXPECT_EQ(counter.Value(), 1u);
+}
+
 // Guards against orders to a worker that was removed and has returned, or to
 // its next incarnation, that it refuses since it has had a higher fence.
 TEST_F(LateOrderTest, EachIncarnationHasAHigherFence) {
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -37,6 +37,15 @@
 /// Maximum number of ends in one report; a full list may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
+/// A run that has started and is missing may have ended in any way. Its task
+/// starts again, as its job would otherwise have no truthful end.
+/// @return how a run ends that its worker does not list.
+workflow::run_end EndingOfMissing(const tracked_run& tracked) {
+  if (tracked.loss) return *tracked.loss;
+  return tracked.started_at ? workflow::run_end::kEndUnread
+                            : workflow::run_end::kNotStarted;
+}
+
 /// @return the need of a run's step; zero if its job is not known.
 core::resources NeedOfRun(const workflow::state& state,
                           const workflow::run_id& run) {
@@ -450,13 +459,10 @@
                        *tracked.resolved_after_poll < poll_number;
     if (!known || listed.contains(run)) continue;
     if (!event_log.State().IsAssigned(run)) continue;
-    const auto ending = tracked.loss.value_or(workflow::run_end::kNotStarted);
-    // `started` with `how=not_started` contradict each other: this incarnation
-    // has had the run, and its end was never listed.
-    spdlog::info("run_missing run={} worker={} born={} how={} started={}",
-                 Name(run), monitor.worker.key.id.v,
-                 monitor.worker.key.incarnation, Name(ending),
-                 tracked.started_at.has_value());
+    const workflow::run_end ending = EndingOfMissing(tracked);
+    spdlog::info("run_missing run={} worker={} born={} how={}", Name(run),
+                 monitor.worker.key.id.v, monitor.worker.key.incarnation,
+                 Name(ending));
     events.emplace_back(workflow::run_ended{run, ending, {}});
   }
   return events;
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -308,7 +308,7 @@
       workflow::run_ended value;
       Read(g.getRun(), value.run, budget);
       value.ending =
-          Enumerator(g.getHow(), workflow::run_end::kLostUnconfirmed);
+          Enumerator(g.getHow(), workflow::kLastRunEnd);
       value.checkpoint = String(g.getCheckpoint());
       return value;
     }
--- a/src/wire/convert_workflow_orders.cpp
+++ b/src/wire/convert_workflow_orders.cpp
@@ -14,7 +14,7 @@
   value.number = reader.getNumber();
   Read(reader.getRun(), value.run, budget);
   value.ending =
-      Enumerator(reader.getHow(), workflow::run_end::kLostUnconfirmed);
+      Enumerator(reader.getHow(), workflow::kLastRunEnd);
   value.checkpoint = String(reader.getCheckpoint());
 }
 
