--- a/src/dispatch/dispatcher_fixture.h
+++ b/src/dispatch/dispatcher_fixture.h
@@ -99,14 +99,14 @@
   }
 
   /// Declares the queues and starts the dispatcher of a term.
-  void BeginTerm() {
+  void BeginTerm(core::term term = kTerm) {
     workflow::catalog catalog;
     catalog.version = 1;
     catalog.queues = {queue_, urgent_};
     catalog.pools = {{"pool", false, false}};
     event_log_.Apply(workflow::catalog_declared{catalog});
     dispatcher_ = std::make_unique<dispatcher>(
-        dispatcher_settings{}, kTerm, context_.get_executor(), clock_,
+        dispatcher_settings{}, term, context_.get_executor(), clock_,
         event_log_, workers_, eligibility_, registry_);
     event_log_.observer = dispatcher_.get();
     dispatcher_->Start();
--- a/src/workflow/state_test.cpp
+++ b/src/workflow/state_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <numeric>
+#include <random>
 
 #include "mangoplank/wire/codec.h"
 
@@ -330,6 +332,131 @@
   EXPECT_EQ(s.FindJob("j")->failure, job_failure::kAttempts);
 }
 
+/// Passes the state through a snapshot, as a process that falls behind gets it.
+state Restored(const state& state) {
+  const auto image = core::Capture(
+      [&] { return wire::DecodeWorkflowImage(wire::Encode(state.Image())); });
+  EXPECT_TRUE(image);
+  return image ? state::FromImage(*image) : workflow::state{};
+}
+
+// Guards against LOST and BUDGET by a sequence of ends that no other test has:
+// the ends of all members in any order, each end of any kind, late ends of
+// earlier runs, and snapshots between them. A run is one attempt if a member
+// ended as failed in it.
+TEST(WorkflowStateTest, AttemptsOfAGangAreItsRunsWithAFailedMember) {
+  constexpr std::uint32_t kMembers = 4;
+  constexpr std::uint32_t kMaxAttempts = 3;
+  constexpr std::uint32_t kSequences = 3'000;
+  const std::vector<run_end> endings = {
+      run_end::kFailed,         run_end::kFailed,
+      run_end::kFailed,         run_end::kStopped,
+      run_end::kLeaseExpired,   run_end::kNotStarted,
+      run_end::kLost,           run_end::kGangMemberEnded,
+      run_end::kGangIncomplete, run_end::kLostUnconfirmed};
+  step gang;
+  gang.count = kMembers;
+  gang.gang = true;
+  for (std::uint32_t seed = 1; seed <= kSequences; ++seed) {
+    SCOPED_TRACE(seed);
+    std::mt19937 random(seed);
+    const auto draw = [&](std::size_t count) { return random() % count; };
+    state s = MakeState({gang});
+    catalog declared = s.Catalog();
+    declared.version = 4;
+    declared.queues[0].max_attempts = kMaxAttempts;
+    s.Apply(catalog_declared{declared});
+    std::uint32_t attempts = 0;
+    for (std::uint32_t run = 1; attempts < kMaxAttempts && run < 30; ++run) {
+      std::vector<std::uint32_t> order(kMembers);
+      std::iota(order.begin(), order.end(), 0);
+      std::shuffle(order.begin(), order.end(), random);
+      for (const std::uint32_t member : order) {
+        s.Apply(run_assigned{RunOf(0, member, run), Key("w1", 1)});
+      }
+      bool has_failed = false;
+      for (const std::uint32_t member : order) {
+        if (draw(4) == 0) s = Restored(s);
+        if (run > 1 && draw(3) == 0) {
+          const auto earlier = static_cast<std::uint32_t>(1 + draw(run - 1));
+          const auto late = static_cast<std::uint32_t>(draw(kMembers));
+          s.Apply(run_ended{RunOf(0, late, earlier), run_end::kFailed, ""});
+        }
+        const run_end ending = endings[draw(endings.size())];
+        has_failed = has_failed || ending == run_end::kFailed;
+        s.Apply(run_ended{RunOf(0, member, run), ending, ""});
+        // The same end, listed again.
+        if (draw(4) == 0) s.Apply(run_ended{RunOf(0, member, run), ending, ""});
+        const bool is_last = attempts + has_failed == kMaxAttempts;
+        ASSERT_EQ(IsFinal(s.FindJob("j")->phase), is_last);
+        if (s.FindJob("j")->tasks.empty()) continue;
+        ASSERT_EQ(s.FindJob("j")->CountAttempts({"j", 0, 0, 0}),
+                  attempts + has_failed);
+      }
+      if (has_failed) ++attempts;
+    }
+    ASSERT_EQ(s.FindJob("j")->failure, job_failure::kAttempts);
+    s.Apply(run_assigned{RunOf(0, 0, 30), Key("w1", 1)});
+    ASSERT_FALSE(s.IsAssigned(RunOf(0, 0, 30)));
+  }
+}
+
+// Guards against gangs of other steps or occurrences that use up the attempts
+// of one: their runs have the same numbers.
+TEST(WorkflowStateTest, GangsOfOtherStepsAndOccurrencesHaveTheirOwnAttempts) {
+  step gang;
+  gang.count = 3;
+  gang.gang = true;
+  state s = MakeState({step{}});
+  job_spec repeated = MakeJob({gang, gang});
+  repeated.id = "r";
+  repeated.repeat_count = 3;
+  s.Apply(job_accepted{repeated, MakeQueue(), 5});
+  const auto run = [&](std::uint32_t occurrence, std::uint32_t step,
+                       std::uint32_t member, std::uint32_t number) {
+    return run_id{{"r", occurrence, step, member}, number};
+  };
+  for (std::uint32_t member = 0; member < 3; ++member) {
+    for (std::uint32_t occurrence = 0; occurrence < 3; ++occurrence) {
+      for (std::uint32_t step = 0; step < 2; ++step) {
+        const run_id id = run(occurrence, step, member, 1);
+        s.Apply(run_assigned{id, Key("w1", 1)});
+        s.Apply(run_ended{id, run_end::kFailed, ""});
+        s = Restored(s);
+      }
+    }
+  }
+  EXPECT_FALSE(IsFinal(s.FindJob("r")->phase));
+  for (std::uint32_t occurrence = 0; occurrence < 3; ++occurrence) {
+    for (std::uint32_t step = 0; step < 2; ++step) {
+      EXPECT_EQ(s.FindJob("r")->CountAttempts({"r", occurrence, step, 2}), 1u);
+    }
+  }
+  // The second failed run of one of them is the end of the job.
+  s.Apply(run_assigned{run(1, 1, 2, 2), Key("w1", 1)});
+  s.Apply(run_ended{run(1, 1, 2, 2), run_end::kFailed, ""});
+  EXPECT_EQ(s.FindJob("r")->failure, job_failure::kAttempts);
+}
+
+// Guards against a cancelled job that is shown as failed, since members of a
+// gang fail after the cancelling.
+TEST(WorkflowStateTest, FailuresAfterACancelChangeNothing) {
+  step gang;
+  gang.count = 3;
+  gang.gang = true;
+  state s = MakeState({gang});
+  for (std::uint32_t member = 0; member < 3; ++member) {
+    s.Apply(run_assigned{RunOf(0, member, 1), Key("w1", 1)});
+  }
+  s.Apply(run_ended{RunOf(0, 0, 1), run_end::kFailed, ""});
+  s.Apply(job_cancelled{"j"});
+  s.Apply(run_ended{RunOf(0, 1, 1), run_end::kFailed, ""});
+  s = Restored(s);
+  s.Apply(run_ended{RunOf(0, 2, 1), run_end::kFailed, ""});
+  EXPECT_EQ(s.FindJob("j")->phase, job_phase::kCancelled);
+  EXPECT_TRUE(s.FindJob("j")->tasks.empty());
+}
+
 // Guards against a cancelled job that gets new runs.
 TEST(WorkflowStateTest, ACancelledJobGetsNoRuns) {
   state s = MakeState({step{}});
