--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -22,6 +22,8 @@
 CLAIM_PORT = 8169
 HOST = "queue.example"
 MAX_RUN_S = 112
+# As on the users' small deployments.
+MAX_DESCRIPTORS = 4096
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -89,6 +91,7 @@
         is_controller = self.role == "controller"
         values = {
             "node-name": self.name, "role": self.role, "ip": self.ip, "zone": "z1",
+            "limits": {"max-fds": MAX_DESCRIPTORS},
             "bind-addrs": ({"control": f"{self.ip}:8166"} if is_controller else
                            {"front": f"{self.ip}:8161", "ready": f"{self.ip}:8167"}),
             "internal-ports": [7720, 7735], "seed-nodes": self.cell.seeds,
