Keep how a run was lost with a former incarnation

What callers would see: a task that crashes its workers is started on more of them. Cause: a run that had moved to the next incarnation got a new verdict when that one crashed before its first answer. Since such a run no longer counts as started there, the verdict was lost_unconfirmed in place of crashed. Change: the first verdict stays.

--- a/src/dispatch/dispatcher_fixture.h
+++ b/src/dispatch/dispatcher_fixture.h
@@ -33,6 +33,8 @@
   int lost_polls = 0;
   /// Polls that acknowledge ends get no answer.
   bool loses_acknowledgements = false;
+  /// Polls that go over a relay get no answer.
+  bool loses_relayed_polls = false;
 
   core::awaitable<order_result> Start(worker_target to, start_order order,
                                       core::milliseconds timeout) override {
@@ -66,9 +68,12 @@
   core::awaitable<poll_result> Poll(worker_target to, poll_order order,
                                     core::milliseconds timeout) override {
     const bool is_lost_acknowledgement =
-        loses_acknowledgements && order.recorded_ends > 0;
-    if (is_lost_acknowledgement || lost_polls > 0) {
-      if (!is_lost_acknowledgement) --lost_polls;
+        loses_acknowledgements && order.acknowledged_ends > 0;
+    const bool is_lost_by_relay =
+        loses_relayed_polls && to.route == order_route::kRelayed;
+    const bool is_lost = is_lost_acknowledgement || is_lost_by_relay;
+    if (is_lost || lost_polls > 0) {
+      if (!is_lost) --lost_polls;
       polls.push_back(order);
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
@@ -106,8 +111,8 @@
     catalog.pools = {{"pool", false, false}};
     event_log_.Apply(workflow::catalog_declared{catalog});
     dispatcher_ = std::make_unique<dispatcher>(
-        dispatcher_settings{}, term, context_.get_executor(), clock_,
-        event_log_, workers_, eligibility_, registry_);
+        settings_, term, context_.get_executor(), clock_, event_log_, workers_,
+        eligibility_, registry_);
     event_log_.observer = dispatcher_.get();
     dispatcher_->Start();
     RunFor(milliseconds(50));
@@ -193,6 +198,7 @@
     return event_log_.state.FindJob(job)->phase;
   }
 
+  dispatcher_settings settings_;
   boost::asio::io_context context_;
   core::fake_clock clock_;
   fake_event_log event_log_;
--- a/src/dispatch/late_order_test.cpp
+++ b/src/dispatch/late_order_test.cpp
@@ -29,7 +29,7 @@
     RunWithHeartbeats(kSettleTime);
     workers_.loses_acknowledgements = false;
     for (std::size_t i = polls_before; i < workers_.polls.size(); ++i) {
-      if (workers_.polls[i].recorded_ends > 0) return workers_.polls[i];
+      if (workers_.polls[i].acknowledged_ends > 0) return workers_.polls[i];
     }
     return std::nullopt;
   }
@@ -44,9 +44,10 @@
   const core::worker_id kWorker{"w1"};
 };
 
-// Guards against TWICE: a poll that acknowledged ends of the former incarnation
-// is carried out by the next one, which numbers its ends anew. It discards ends
-// that nobody has read, and their tasks are started again.
+// Guards against a task that runs twice: a poll that acknowledged ends of the
+// former incarnation is carried out by the next one, which numbers its ends
+// anew. It discards ends that nobody has read, and their tasks are started
+// again.
 TEST_F(LateOrderTest, APollForAFormerIncarnationDiscardsNoEnds) {
   AddWorker(kWorker.v, 1);
   BeginTerm();
@@ -67,8 +68,9 @@
   EXPECT_EQ(Phase("j"), workflow::job_phase::kSucceeded);
 }
 
-// Guards against TWICE: the same by a start. The next incarnation runs a task
-// that was meant for the former one, beside the run that replaced it.
+// Guards against a task that runs twice: the same by a start. The next
+// incarnation runs a task that was meant for the former one, beside the run
+// that replaced it.
 TEST_F(LateOrderTest, AStartForAFormerIncarnationIsRefused) {
   AddWorker(kWorker.v, 1);
   BeginTerm();
@@ -83,9 +85,9 @@
   EXPECT_FALSE(workers_.CarryOut(kWorker, late));
 }
 
-// Guards against TWICE without a late order: the check whether a registered
-// incarnation still answers goes to the address at which the next one may have
-// ended a run already.
+// Guards against a task that runs twice, without a late order: the check
+// whether a registered incarnation still answers goes to the address at which
+// the next one may have ended a run already.
 TEST_F(LateOrderTest, TheCheckOfAnIncarnationAcknowledgesNoEnds) {
   const workflow::worker_key registered = AddWorker(kWorker.v, 1);
   BeginTerm();
@@ -97,12 +99,12 @@
                  asio::detached);
   RunFor(kPollTime);
   ASSERT_GT(workers_.polls.size(), polls_before);
-  EXPECT_EQ(workers_.polls[polls_before].recorded_ends, 0u);
+  EXPECT_EQ(workers_.polls[polls_before].acknowledged_ends, 0u);
 }
 
-// Guards against TWICE without a late order: a poll gets no answer because its
-// worker has crashed, and its further tries reach the next incarnation, which
-// discards the ends that they acknowledge.
+// Guards against a task that runs twice, without a late order: a poll gets no
+// answer because its worker has crashed, and its further tries reach the next
+// incarnation, which discards the ends that they acknowledge.
 TEST_F(LateOrderTest, OnlyAPollAfterAnAnswerAcknowledgesEnds) {
   AddWorker(kWorker.v, 1);
   BeginTerm();
@@ -112,14 +114,52 @@
   // after a poll without one was answered.
   std::uint64_t acknowledged_before = 0;
   for (const poll_order& poll : workers_.polls) {
-    EXPECT_FALSE(acknowledged_before > 0 && poll.recorded_ends > 0);
-    acknowledged_before = poll.recorded_ends;
+    EXPECT_FALSE(acknowledged_before > 0 && poll.acknowledged_ends > 0);
+    acknowledged_before = poll.acknowledged_ends;
   }
   RunWithHeartbeats(kSettleTime);
   EXPECT_EQ(workers_.states[kWorker].acknowledged_ends, 1u);
   EXPECT_TRUE(workers_.states[kWorker].ended.empty());
 }
 
+// Guards against ends that are never acknowledged, and a list of ends that
+// grows until it hides others: the relay to a worker loses all first tries of
+// polls, and further tries acknowledge nothing.
+TEST_F(LateOrderTest, EndsAreAcknowledgedWhileARelayLosesPolls) {
+  settings_.min_relayed_workers = 1;
+  AddWorker(kWorker.v, 1);
+  BeginTerm();
+  Submit("j", {Step(2, 1'000)}, queue_);
+  RunWithHeartbeats(kPollTime);
+  workers_.loses_relayed_polls = true;
+  workers_.End(kWorker, RunOf("j", 0, 1), run_end::kDone);
+  RunWithHeartbeats(2 * kSettleTime);
+  EXPECT_EQ(workers_.states[kWorker].acknowledged_ends, 1u);
+}
+
+// Guards against a task that crashes its workers and is not counted as that: it
+// crashed the former incarnation, and the next one crashes for another reason
+// before its first answer shows that it does not have the run.
+TEST_F(LateOrderTest, TheLossOfATransferredRunIsKept) {
+  AddWorker(kWorker.v, 1);
+  BeginTerm();
+  Submit("j", {Step(1, 1'000)}, queue_);
+  RunWithHeartbeats(kSettleTime);
+  Mute(kWorker);
+  workers_.Restart(kWorker);
+  AddWorker(kWorker.v, 2);
+  RunWithHeartbeats(kPollTime);
+  workers_.Restart(kWorker);
+  AddWorker(kWorker.v, 3);
+  RunWithHeartbeats(kPollTime);
+  workers_.silent.clear();
+  RunWithHeartbeats(kSettleTime);
+  const auto& counter =
+      registry_.Counter("mangoplank_workflow_runs_ended_total",
+                        "Ended runs by how they ended", {{"how", "crashed"}});
+  EXPECT_EQ(counter.Value(), 1u);
+}
+
 // Guards against a job that never ends, and against logs that tell a run whose
 // end was discarded from one that was never started as the same.
 TEST_F(LateOrderTest, ARunWhoseEndWasDiscardedUnreadStartsAgain) {
@@ -138,31 +178,33 @@
 }
 
 // Guards against orders to a worker that was removed and has returned, or to
-// its next incarnation, that it refuses since it has had a higher fence.
-TEST_F(LateOrderTest, EachIncarnationHasAHigherFence) {
+// its next incarnation, that it refuses since it has had a higher fencing
+// token.
+TEST_F(LateOrderTest, EachIncarnationHasAHigherFencingToken) {
   workflow::worker_key worker = AddWorker(kWorker.v, 1);
   AddWorker("w2");
   BeginTerm();
   RunWithHeartbeats(kPollTime);
-  fence highest = workers_.states[kWorker].fence;
+  fencing_token highest = workers_.states[kWorker].token;
   for (core::wall_time_ms incarnation = 1; incarnation <= 3; ++incarnation) {
     event_log_.Apply(workflow::worker_removed{worker});
     RunWithHeartbeats(kPollTime);
     worker = AddWorker(kWorker.v, incarnation);
     RunWithHeartbeats(kPollTime);
-    EXPECT_GT(workers_.states[kWorker].fence, highest);
-    highest = workers_.states[kWorker].fence;
+    EXPECT_GT(workers_.states[kWorker].token, highest);
+    highest = workers_.states[kWorker].token;
   }
-  EXPECT_LT(highest, workflow::MakeFence(kTerm + 1, 0));
+  EXPECT_LT(highest, workflow::MakeFencingToken(kTerm + 1, 0));
 }
 
 // Guards against a leader whose orders are refused since the one before it has
-// known more incarnations than a term has fences.
-TEST(FenceTest, ALaterTermIsAboveAllIncarnationsOfAnEarlierOne) {
-  using workflow::kFencesPerTerm;
-  using workflow::MakeFence;
-  EXPECT_LT(MakeFence(4, kFencesPerTerm - 2), MakeFence(4, kFencesPerTerm - 1));
-  EXPECT_LT(MakeFence(4, 2 * kFencesPerTerm), MakeFence(5, 0));
+// had more incarnations than a term has tokens.
+TEST(FencingTokenTest, ALaterTermIsAboveAllIncarnationsOfAnEarlierOne) {
+  using workflow::kTokensPerTerm;
+  using workflow::MakeFencingToken;
+  EXPECT_LT(MakeFencingToken(4, kTokensPerTerm - 2),
+            MakeFencingToken(4, kTokensPerTerm - 1));
+  EXPECT_LT(MakeFencingToken(4, 2 * kTokensPerTerm), MakeFencingToken(5, 0));
 }
 
 }  // namespace
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -59,6 +59,8 @@
   std::string first;
   for (const auto& [run, tracked] : monitor.runs.Runs()) {
     if (!tracked.ordered) continue;
+    // Lost with a former incarnation.
+    if (tracked.loss) continue;
     const bool survived = HasSurvivedStart(monitor, tracked, kStartTime);
     if (!survived && starting++ == 0) first = Name(run);
     monitor.runs.Find(run)->loss = EndingAfterLoss(monitor, tracked, loss);
