Acknowledge ends directly while answers are lost; call the fence a fencing token

What operators would see: in a cell of 200 workers and more, a worker whose relay is cut off from it lists more and more ends, and above 500 none that is new. Cause: only the first try of a poll acknowledges ends, and it goes over the relay. Further tries go directly, are answered and acknowledge nothing. Found by the review. The list of ends need not be sorted. The fake of a worker obeys a poll before it hides its answer, as a worker does. The codec test reaches the last ends of runs. fencing_token and acknowledged_ends are the usual terms.

--- a/include/mangoplank/dispatch/ports.h
+++ b/include/mangoplank/dispatch/ports.h
@@ -19,7 +19,7 @@
 namespace mangoplank::dispatch {
 
 using workflow::ended_run;
-using workflow::fence;
+using workflow::fencing_token;
 using workflow::no_answer;
 using workflow::not_sent;
 using workflow::order_done;
--- a/include/mangoplank/workflow/orders.h
+++ b/include/mangoplank/workflow/orders.h
@@ -15,30 +15,31 @@
 /// the leader or from another control process that relays them.
 namespace mangoplank::workflow {
 
-/// Orders everything that is sent to one worker: a worker refuses an order with
-/// a lower fence than the highest that it has seen. A term alone would not do:
-/// an order may be carried out seconds later, by the next incarnation of its
-/// worker, for which the numbers and the lease in it mean something else.
-struct fence {
+/// Ranks the orders to one worker, which refuses an order with a lower token
+/// than the highest that it has seen. Each incarnation of a worker has its own:
+/// an order may be carried out seconds later, by the next incarnation, for
+/// which the numbers and the lease in it mean something else.
+struct fencing_token {
   std::uint64_t v = 0;
 
-  friend auto operator<=>(const fence&, const fence&) = default;
+  friend auto operator<=>(const fencing_token&, const fencing_token&) = default;
 };
 
-/// Fences of one term. With 2^33 terms they stay below 2^53, the largest whole
-/// number that every JSON reader holds exactly.
-inline constexpr std::uint64_t kFencesPerTerm = std::uint64_t{1} << 20;
+/// With 2^33 terms the tokens stay below 2^53, the largest whole number that
+/// every JSON reader holds exactly.
+inline constexpr std::uint64_t kTokensPerTerm = std::uint64_t{1} << 20;
 
-/// @param number of the incarnation in the order in which the leader of the
-/// term came to know of them. All above the last one of a term share its fence,
-/// so that none reaches into the next term.
-constexpr fence MakeFence(core::term term, std::uint64_t number) {
-  return {term * kFencesPerTerm + std::min(number, kFencesPerTerm - 1)};
+/// @param term of the leader.
+/// @param number rank of the incarnation among those that this leader has had.
+/// @return the token; the last one of the term for all numbers beyond it.
+constexpr fencing_token MakeFencingToken(core::term term,
+                                         std::uint64_t number) {
+  return {term * kTokensPerTerm + std::min(number, kTokensPerTerm - 1)};
 }
 
 /// Order to start a run.
 struct start_order {
-  workflow::fence fence;
+  workflow::fencing_token token;
   workflow::run_id run;
   std::string payload;
   /// End of the lease on the worker's own clock, in milliseconds.
@@ -51,7 +52,7 @@
 
 /// Order to stop a run. A worker without the run refuses any later start of it.
 struct stop_order {
-  workflow::fence fence;
+  workflow::fencing_token token;
   workflow::run_id run;
 
   friend bool operator==(const stop_order&, const stop_order&) = default;
@@ -59,10 +60,9 @@
 
 /// Renews the lease and reads which runs are active and which have ended.
 struct poll_order {
-  workflow::fence fence;
-  /// Ends up to this number are recorded, and the worker discards them; 0 for
-  /// none.
-  std::uint64_t recorded_ends = 0;
+  workflow::fencing_token token;
+  /// The worker discards the ends up to this number; 0 for none.
+  std::uint64_t acknowledged_ends = 0;
   /// End of the lease on the worker's own clock; without one the lease stays.
   std::optional<std::int64_t> lease_until_ms;
   /// The worker answers when a run ends, or after this time.
@@ -72,8 +72,8 @@
 };
 
 enum class refusal : std::uint8_t {
-  /// The worker has seen a higher fence.
-  kOutdatedFence,
+  /// The worker has seen a higher fencing token.
+  kOutdatedFencingToken,
   /// The run was stopped or has ended on the worker.
   kOldRun,
   /// The lease in the order has expired.
@@ -87,9 +87,13 @@
 
 /// @return the name used in logs.
 constexpr std::string_view Name(refusal reason) {
-  constexpr std::string_view kNames[] = {
-      "outdated_fence", "old_run", "too_late", "no_room",
-      "ticket",         "invalid", "unhealthy"};
+  constexpr std::string_view kNames[] = {"outdated_fencing_token",
+                                         "old_run",
+                                         "too_late",
+                                         "no_room",
+                                         "ticket",
+                                         "invalid",
+                                         "unhealthy"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -210,8 +210,8 @@
     free_slots.pop_back();
   }
   const auto monitor = std::make_shared<worker_monitor>(
-      worker, workflow::MakeFence(term, incarnation_count++), slot, executor,
-      clock);
+      worker, workflow::MakeFencingToken(term, incarnation_count++), slot,
+      executor, clock);
   monitor->pool = &usable_pools[worker.pool];
   // An earlier leader may have renewed the lease until this term began.
   monitor->leased_at = leased_at;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -50,19 +50,19 @@
 
 /// The leader's view of one incarnation of a worker.
 struct worker_monitor {
-  worker_monitor(workflow::worker registered, dispatch::fence own_fence,
+  worker_monitor(workflow::worker registered, dispatch::fencing_token own_token,
                  worker_slot free_slot,
                  const boost::asio::any_io_executor& executor,
                  core::clock& clock)
       : worker(std::move(registered)),
-        fence(own_fence),
+        token(own_token),
         slot(free_slot),
         wakeup(executor, clock) {}
 
   workflow::worker worker;
   /// Above those of all earlier incarnations, so that after its first answer
   /// this one carries out no order that was sent to them.
-  const dispatch::fence fence;
+  const dispatch::fencing_token token;
   /// The pool of the worker, for rounds of placement.
   usable_pool* pool = nullptr;
   const worker_slot slot;
@@ -75,7 +75,9 @@
   /// Whether a poll of this term was answered. After that the worker refuses
   /// orders of earlier leaders, and all of its runs are known.
   bool synced = false;
+  /// Ends up to this number are recorded.
   std::uint64_t recorded_ends = 0;
+  /// Ends up to this number are recorded and no longer listed.
   std::uint64_t acknowledged_ends = 0;
   /// A poll that acknowledges ends is open.
   bool acknowledging = false;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -11,7 +11,7 @@
   Submit("j", {Step(2, 1'000)}, queue_);
   RunFor(milliseconds(100));
   ASSERT_EQ(workers_.starts.size(), 2u);
-  EXPECT_EQ(workers_.starts[0].fence, workflow::MakeFence(kTerm, 0));
+  EXPECT_EQ(workers_.starts[0].token, workflow::MakeFencingToken(kTerm, 0));
   EXPECT_EQ(workers_.starts[0].payload, "payload of j");
   EXPECT_GT(workers_.starts[0].lease_until_ms, workers_.ClockMs() + 4'000);
   workers_.End({"w1"}, RunOf("j", 0, 1), run_end::kDone);
@@ -149,7 +149,8 @@
   workers_.states[{"w1"}].running[RunOf("j", 0, 1)] = "";
   BeginTerm();
   RunFor(seconds(1));
-  EXPECT_EQ(workers_.states[{"w1"}].fence, workflow::MakeFence(kTerm, 0));
+  EXPECT_EQ(workers_.states[{"w1"}].token,
+            workflow::MakeFencingToken(kTerm, 0));
   ASSERT_EQ(workers_.starts.size(), 1u);
   EXPECT_EQ(workers_.starts[0].run, RunOf("j", 1, 2));
 }
--- a/src/dispatch/fakes.h
+++ b/src/dispatch/fakes.h
@@ -54,7 +54,7 @@
     std::vector<ended_run> ended;
     std::uint64_t next_end = 1;
     std::uint64_t acknowledged_ends = 0;
-    workflow::fence fence;
+    workflow::fencing_token token;
     std::int64_t lease_until_ms = 0;
   };
   /// Decides the result of a start; by default it is carried out.
@@ -97,22 +97,22 @@
 
   /// Carries out what a poll changes at the worker, also one that had no
   /// answer.
-  /// @return false if the worker refuses the poll's fence.
+  /// @return false if the worker refuses the poll's fencing token.
   bool CarryOut(const core::worker_id& worker, const poll_order& order) {
     worker_state& state = states[worker];
-    if (!AcceptsFence(state, order.fence)) return false;
+    if (!AcceptsToken(state, order.token)) return false;
     state.acknowledged_ends =
-        std::max(state.acknowledged_ends, order.recorded_ends);
+        std::max(state.acknowledged_ends, order.acknowledged_ends);
     if (order.lease_until_ms) state.lease_until_ms = *order.lease_until_ms;
     std::erase_if(state.ended, [&](const ended_run& end) {
-      return end.number <= order.recorded_ends;
+      return end.number <= order.acknowledged_ends;
     });
     return true;
   }
   /// The same for a start.
   bool CarryOut(const core::worker_id& worker, const start_order& order) {
     worker_state& state = states[worker];
-    if (!AcceptsFence(state, order.fence)) return false;
+    if (!AcceptsToken(state, order.token)) return false;
     state.running[order.run] = order.checkpoint;
     return true;
   }
@@ -132,7 +132,7 @@
     }
     if (on_start) co_return on_start(to, order);
     if (!CarryOut(to.key.id, order)) {
-      co_return order_refused{refusal::kOutdatedFence};
+      co_return order_refused{refusal::kOutdatedFencingToken};
     }
     co_return order_done{ClockMs()};
   }
@@ -144,8 +144,8 @@
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
     }
-    if (!AcceptsFence(states[to.key.id], order.fence)) {
-      co_return order_refused{refusal::kOutdatedFence};
+    if (!AcceptsToken(states[to.key.id], order.token)) {
+      co_return order_refused{refusal::kOutdatedFencingToken};
     }
     if (states[to.key.id].running.contains(order.run)) {
       End(to.key.id, order.run, workflow::run_end::kStopped, "saved");
@@ -160,14 +160,14 @@
       co_await core::SleepFor(clock, timeout);
       co_return no_answer{};
     }
-    const auto named = named_incarnations.find(to.key.id);
-    const bool is_named = named != named_incarnations.end();
-    if (is_named && named->second != to.key.incarnation) co_return no_answer{};
     const int interruptions_before = interruptions[to.key.id];
     worker_state& state = states[to.key.id];
     if (!CarryOut(to.key.id, order)) {
-      co_return order_refused{refusal::kOutdatedFence};
+      co_return order_refused{refusal::kOutdatedFencingToken};
     }
+    const auto named = named_incarnations.find(to.key.id);
+    const bool is_named = named != named_incarnations.end();
+    if (is_named && named->second != to.key.incarnation) co_return no_answer{};
     const core::time_point until = clock.Now() + order.wait;
     while (state.ended.empty() && clock.Now() < until) {
       co_await core::SleepFor(clock, core::milliseconds(20));
@@ -185,10 +185,11 @@
   }
 
  private:
-  /// A worker refuses orders with a fence below the highest that it has seen.
-  static bool AcceptsFence(worker_state& state, workflow::fence fence) {
-    if (fence < state.fence) return false;
-    state.fence = fence;
+  /// A worker refuses orders with a fencing token below the highest that it has
+  /// seen.
+  static bool AcceptsToken(worker_state& state, workflow::fencing_token token) {
+    if (token < state.token) return false;
+    state.token = token;
     return true;
   }
 };
--- a/src/dispatch/former_incarnation_test.cpp
+++ b/src/dispatch/former_incarnation_test.cpp
@@ -44,8 +44,8 @@
 
 // Guards against TWICE: a silent worker is removed with the end of its lease,
 // and its task starts elsewhere. The start without an answer is carried out
-// later, by an incarnation that is cut off, has seen no fence and counts the
-// lease on a clock that begins anew.
+// later, by an incarnation that is cut off, has seen no fencing token and
+// counts the lease on a clock that begins anew.
 TEST_F(FormerIncarnationTest, ARemovedWorkersStartMayReachItsNextIncarnation) {
   const start_order late = StartOnSilentWorker();
   RunWithHeartbeats(ordered_at_ + kMaxOrderDelay - clock_.Now());
@@ -131,7 +131,7 @@
   RunWithHeartbeats(seconds(1));
   workers_.End(kSilent, RunOf("i", 0, 1), run_end::kDone);
   RunWithHeartbeats(milliseconds(100));
-  ASSERT_EQ(workers_.polls.back().recorded_ends, 1u);
+  ASSERT_EQ(workers_.polls.back().acknowledged_ends, 1u);
   ASSERT_GT(workers_.polls.back().wait, seconds(1));
   const std::size_t polls_before = workers_.polls.size();
   constexpr int kTries = 5;
@@ -141,7 +141,7 @@
   ASSERT_EQ(workers_.lost_starts, 0);
   ASSERT_GT(workers_.polls.size(), polls_before);
   for (std::size_t i = polls_before; i < workers_.polls.size(); ++i) {
-    EXPECT_EQ(workers_.polls[i].recorded_ends, 0u) << i - polls_before;
+    EXPECT_EQ(workers_.polls[i].acknowledged_ends, 0u) << i - polls_before;
   }
 }
 
--- a/src/dispatch/load_workers_fixture.cpp
+++ b/src/dispatch/load_workers_fixture.cpp
@@ -207,7 +207,7 @@
         std::max(state.lease_until_ms, *order.lease_until_ms);
   }
   std::erase_if(state.ended, [&](const ended_run& end) {
-    return end.number <= order.recorded_ends;
+    return end.number <= order.acknowledged_ends;
   });
   const core::time_point until = clock.Now() + order.wait;
   while (state.ended.empty() && clock.Now() < until) {
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -32,7 +32,7 @@
     co_return;
   }
   monitor->runs.SetOrdered(*tracked);
-  start_order order{monitor->fence,
+  start_order order{monitor->token,
                     planned.run,
                     job->spec.payload,
                     NextLeaseEndMs(*monitor).value_or(0),
@@ -178,7 +178,7 @@
   const auto self = shared_from_this();
   const auto tries = std::make_shared<order_tries<order_result>>(
       executor, clock, core::milliseconds(0));
-  const auto send = [self, monitor, order = stop_order{monitor->fence, run}](
+  const auto send = [self, monitor, order = stop_order{monitor->token, run}](
                         core::milliseconds timeout, bool is_repeated) {
     return self->workers.Stop(
         self->TargetOf(*monitor, self->RouteOf(is_repeated)), order, timeout);
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -38,7 +38,7 @@
 constexpr std::size_t kMaxListedEnds = 500;
 
 /// A run that has started and is missing may have ended in any way. Its task
-/// starts again, as its job would otherwise have no truthful end.
+/// starts again, as its job would otherwise never end.
 /// @return how a run ends that its worker does not list.
 workflow::run_end EndingOfMissing(const tracked_run& tracked) {
   if (tracked.loss) return *tracked.loss;
@@ -249,11 +249,17 @@
     poll_order next = order;
     if (is_repeated) {
       next.wait = core::milliseconds(0);
-      next.recorded_ends = 0;
+      next.acknowledged_ends = 0;
     }
     ++self->load.polls;
+    // The relay may be what loses the acknowledgements, which no further try
+    // has.
+    const bool avoids_relay =
+        order.acknowledged_ends > 0 &&
+        self->clock.Now() < monitor->lost_answer_at + kLossMemory;
     return self->workers.Poll(
-        self->TargetOf(*monitor, self->RouteOf(is_repeated)), next, timeout);
+        self->TargetOf(*monitor, self->RouteOf(is_repeated || avoids_relay)),
+        next, timeout);
   };
   const auto may_repeat = [this, &monitor] {
     return !stopped && !monitor->removed;
@@ -276,10 +282,10 @@
   }
 }
 
-/// A worker discards the ends that a poll acknowledges, also the next
-/// incarnation, which numbers its ends anew. So only a poll that follows an
-/// answer acknowledges ends, only if there are new ones, and only one poll at a
-/// time.
+/// An acknowledgement may reach the next incarnation, which numbers its ends
+/// from 1, and would discard some that nobody has read. So only a poll that
+/// follows an answer acknowledges ends, only if there are new ones, and only
+/// one poll at a time.
 /// @return the number up to which ends are acknowledged; 0 for none.
 std::uint64_t dispatcher::impl::EndsToAcknowledge(
     const worker_monitor& monitor) const {
@@ -290,7 +296,7 @@
 
 awaitable<poll_outcome> dispatcher::impl::Poll(
     std::shared_ptr<worker_monitor> monitor, core::milliseconds wait) {
-  poll_order order{monitor->fence, EndsToAcknowledge(*monitor), std::nullopt,
+  poll_order order{monitor->token, EndsToAcknowledge(*monitor), std::nullopt,
                    wait};
   // A poll without an answer may have been carried out. The lease is not
   // renewed after it, so that the lease expires while the worker is silent.
@@ -302,7 +308,7 @@
   const std::uint64_t poll_number = ++monitor->polls_sent;
   const std::uint64_t recorded_before = monitor->recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
-  const bool acknowledges = order.recorded_ends > 0;
+  const bool acknowledges = order.acknowledged_ends > 0;
   if (acknowledges) monitor->acknowledging = true;
   auto result = co_await SendPoll(monitor, order);
   if (acknowledges) monitor->acknowledging = false;
@@ -313,8 +319,9 @@
   }
   if (auto* const report = std::get_if<worker_report>(&result)) {
     // Another try than the one that acknowledged them may have been answered.
-    const bool lists_recorded = !report->ended.empty() &&
-                                report->ended.front().number <= recorded_before;
+    const bool lists_recorded = std::any_of(
+        report->ended.begin(), report->ended.end(),
+        [&](const ended_run& end) { return end.number <= recorded_before; });
     if (!lists_recorded) {
       monitor->acknowledged_ends =
           std::max(monitor->acknowledged_ends, recorded_before);
@@ -330,9 +337,10 @@
   if (!std::exchange(monitor->unanswered, true)) {
     monitor->unanswered_since = clock.Now();
     // The poll may still be carried out, also by a later incarnation.
-    spdlog::info("poll_unanswered worker={} born={} fence={} acknowledged={}",
-                 monitor->worker.key.id.v, monitor->worker.key.incarnation,
-                 monitor->fence.v, order.recorded_ends);
+    spdlog::info(
+        "poll_unanswered worker={} born={} fencing_token={} acknowledged={}",
+        monitor->worker.key.id.v, monitor->worker.key.incarnation,
+        monitor->token.v, order.acknowledged_ends);
   }
   ++load.polls_unanswered;
   if (std::holds_alternative<other_incarnation>(result)) {
@@ -340,9 +348,9 @@
     co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
                           std::move(reason));
   } else if (std::holds_alternative<order_refused>(result)) {
-    spdlog::warn("poll_refused worker={} born={} fence={}",
+    spdlog::warn("poll_refused worker={} born={} fencing_token={}",
                  monitor->worker.key.id.v, monitor->worker.key.incarnation,
-                 monitor->fence.v);
+                 monitor->token.v);
   }
   co_return poll_outcome::kUnanswered;
 }
@@ -434,7 +442,12 @@
 void dispatcher::impl::CheckEndNumbers(worker_monitor& monitor,
                                        const worker_report& report) {
   if (report.ended.empty()) return;
-  const std::uint64_t first = report.ended.front().number;
+  const auto [lowest, highest] =
+      std::minmax_element(report.ended.begin(), report.ended.end(),
+                          [](const ended_run& a, const ended_run& b) {
+                            return a.number < b.number;
+                          });
+  const std::uint64_t first = lowest->number;
   if (monitor.listed_ends && first > *monitor.listed_ends + 1) {
     const std::uint64_t unread = first - *monitor.listed_ends - 1;
     spdlog::warn("ends_unread worker={} born={} count={} first_listed={}",
@@ -443,7 +456,7 @@
     stats.ends_unread.Add(unread);
   }
   monitor.listed_ends =
-      std::max(monitor.listed_ends.value_or(0), report.ended.back().number);
+      std::max(monitor.listed_ends.value_or(0), highest->number);
 }
 
 /// @return an event for each run that the worker should have and does not list.
@@ -490,7 +503,7 @@
   }
   // Neither renews the lease nor acknowledges ends: it may reach the next
   // incarnation.
-  const poll_order order{monitor->fence, 0, std::nullopt,
+  const poll_order order{monitor->token, 0, std::nullopt,
                          core::milliseconds(0)};
   const worker_target to = TargetOf(*monitor, order_route::kDirect);
   const auto result = co_await workers.Poll(to, order, kConfirmationTimeout);
--- a/src/wire/codec_test.cpp
+++ b/src/wire/codec_test.cpp
@@ -35,7 +35,8 @@
 template <>
 constexpr int kLastEnumerator<workflow::job_failure> = 2;
 template <>
-constexpr int kLastEnumerator<workflow::run_end> = 10;
+constexpr int kLastEnumerator<workflow::run_end> =
+    static_cast<int>(workflow::kLastRunEnd);
 template <>
 constexpr int kLastEnumerator<workflow::refusal> = 6;
 template <>
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -307,8 +307,7 @@
       const auto g = reader.getRunEnded();
       workflow::run_ended value;
       Read(g.getRun(), value.run, budget);
-      value.ending =
-          Enumerator(g.getHow(), workflow::kLastRunEnd);
+      value.ending = Enumerator(g.getHow(), workflow::kLastRunEnd);
       value.checkpoint = String(g.getCheckpoint());
       return value;
     }
--- a/src/wire/convert_workflow_orders.cpp
+++ b/src/wire/convert_workflow_orders.cpp
@@ -13,8 +13,7 @@
                  memory_budget& budget) {
   value.number = reader.getNumber();
   Read(reader.getRun(), value.run, budget);
-  value.ending =
-      Enumerator(reader.getHow(), workflow::kLastRunEnd);
+  value.ending = Enumerator(reader.getHow(), workflow::kLastRunEnd);
   value.checkpoint = String(reader.getCheckpoint());
 }
 
@@ -42,7 +41,7 @@
 
 static void WriteOrder(const workflow::start_order& value,
                        schema::OrderRequest::Builder builder) {
-  builder.setFence(value.fence.v);
+  builder.setFencingToken(value.token.v);
   auto g = builder.initStart();
   Write(value.run, g.initRun());
   g.setPayload(Data(value.payload));
@@ -52,14 +51,14 @@
 }
 static void WriteOrder(const workflow::stop_order& value,
                        schema::OrderRequest::Builder builder) {
-  builder.setFence(value.fence.v);
+  builder.setFencingToken(value.token.v);
   Write(value.run, builder.initStop());
 }
 static void WriteOrder(const workflow::poll_order& value,
                        schema::OrderRequest::Builder builder) {
-  builder.setFence(value.fence.v);
+  builder.setFencingToken(value.token.v);
   auto g = builder.initPoll();
-  g.setRecordedEnds(value.recorded_ends);
+  g.setRecordedEnds(value.acknowledged_ends);
   g.setRenewsLease(value.lease_until_ms.has_value());
   g.setRenewedUntilMs(value.lease_until_ms.value_or(0));
   g.setWaitMs(Number(value.wait));
@@ -72,7 +71,7 @@
     case OrderRequest::START: {
       const auto g = reader.getStart();
       workflow::start_order value;
-      value.fence.v = reader.getFence();
+      value.token.v = reader.getFencingToken();
       Read(g.getRun(), value.run, budget);
       value.payload = String(g.getPayload());
       value.lease_until_ms = g.getLeaseUntilMs();
@@ -82,15 +81,15 @@
     }
     case OrderRequest::STOP: {
       workflow::stop_order value;
-      value.fence.v = reader.getFence();
+      value.token.v = reader.getFencingToken();
       Read(reader.getStop(), value.run, budget);
       return value;
     }
     case OrderRequest::POLL: {
       const auto g = reader.getPoll();
       workflow::poll_order value;
-      value.fence.v = reader.getFence();
-      value.recorded_ends = g.getRecordedEnds();
+      value.token.v = reader.getFencingToken();
+      value.acknowledged_ends = g.getRecordedEnds();
       if (g.getRenewsLease()) value.lease_until_ms = g.getRenewedUntilMs();
       value.wait = core::milliseconds(g.getWaitMs());
       return value;
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -223,7 +223,7 @@
   address @2 :Cell.Endpoint;
   timeoutMs @3 :Int64;
   sentAtMs @4 :Int64;
-  fence @5 :UInt64;
+  fencingToken @5 :UInt64;
   union {
     start :group {
       run @6 :RunId;
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -3810,7 +3810,7 @@
 
   inline  ::int64_t getSentAtMs() const;
 
-  inline  ::uint64_t getFence() const;
+  inline  ::uint64_t getFencingToken() const;
 
   inline bool isStart() const;
   inline typename Start::Reader getStart() const;
@@ -3874,8 +3874,8 @@
   inline  ::int64_t getSentAtMs();
   inline void setSentAtMs( ::int64_t value);
 
-  inline  ::uint64_t getFence();
-  inline void setFence( ::uint64_t value);
+  inline  ::uint64_t getFencingToken();
+  inline void setFencingToken( ::uint64_t value);
 
   inline bool isStart();
   inline typename Start::Builder getStart();
@@ -8805,16 +8805,16 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t OrderRequest::Reader::getFence() const {
+inline  ::uint64_t OrderRequest::Reader::getFencingToken() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t OrderRequest::Builder::getFence() {
+inline  ::uint64_t OrderRequest::Builder::getFencingToken() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void OrderRequest::Builder::setFence( ::uint64_t value) {
+inline void OrderRequest::Builder::setFencingToken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
