--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -186,6 +186,7 @@
   const auto& monitor = monitors[id];
   tracked_run transferred = previous;
   transferred.stopping = false;
+  transferred.started_at.reset();
   tracked_run& tracked = monitor->runs.Add(run, std::move(transferred));
   run_monitors[run] = monitor;
   if (previous.resolved_after_poll && !previous.stopping &&
@@ -208,8 +209,9 @@
     slot = free_slots.back();
     free_slots.pop_back();
   }
-  const auto monitor =
-      std::make_shared<worker_monitor>(worker, slot, executor, clock);
+  const auto monitor = std::make_shared<worker_monitor>(
+      worker, workflow::MakeFence(term, incarnation_count++), slot, executor,
+      clock);
   monitor->pool = &usable_pools[worker.pool];
   // An earlier leader may have renewed the lease until this term began.
   monitor->leased_at = leased_at;
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -50,14 +50,19 @@
 
 /// The leader's view of one incarnation of a worker.
 struct worker_monitor {
-  worker_monitor(workflow::worker registered, worker_slot free_slot,
+  worker_monitor(workflow::worker registered, dispatch::fence own_fence,
+                 worker_slot free_slot,
                  const boost::asio::any_io_executor& executor,
                  core::clock& clock)
       : worker(std::move(registered)),
+        fence(own_fence),
         slot(free_slot),
         wakeup(executor, clock) {}
 
   workflow::worker worker;
+  /// Above those of all earlier incarnations, so that after its first answer
+  /// this one carries out no order that was sent to them.
+  const dispatch::fence fence;
   /// The pool of the worker, for rounds of placement.
   usable_pool* pool = nullptr;
   const worker_slot slot;
@@ -72,6 +77,8 @@
   bool synced = false;
   std::uint64_t recorded_ends = 0;
   std::uint64_t acknowledged_ends = 0;
+  /// A poll that acknowledges ends is open.
+  bool acknowledging = false;
   /// Highest number of an end that the worker has listed. Unset until the first
   /// one if an earlier leader may have acknowledged ends of this incarnation.
   std::optional<std::uint64_t> listed_ends;
@@ -188,6 +195,7 @@
   core::awaitable<poll_result> SendPoll(std::shared_ptr<worker_monitor> monitor,
                                         poll_order order);
   void ResolveExpiredStarts(worker_monitor& monitor) const;
+  std::uint64_t EndsToAcknowledge(const worker_monitor& monitor) const;
   core::awaitable<poll_outcome> Poll(std::shared_ptr<worker_monitor> monitor,
                                      core::milliseconds wait);
   core::awaitable<bool> OnReport(std::shared_ptr<worker_monitor> monitor,
@@ -384,6 +392,9 @@
   /// By slot; null if the worker can't accept tasks.
   std::vector<usable_worker*> usable_by_slot;
   std::vector<worker_slot> free_slots;
+  /// Incarnations that this leader has come to know, also those that have
+  /// ended.
+  std::uint64_t incarnation_count = 0;
   std::map<step_key, eligibility_view> eligibility_by_step;
   std::map<step_key, std::map<core::worker_id, core::time_point>>
       failed_workers;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -37,6 +37,15 @@
 /// Maximum number of ends in one report; a full list may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
+/// A run that has started and is missing may have ended in any way. Its task
+/// starts again, as its job would otherwise have no truthful end.
+/// @return how a run ends that its worker does not list.
+workflow::run_end EndingOfMissing(const tracked_run& tracked) {
+  if (tracked.loss) return *tracked.loss;
+  return tracked.started_at ? workflow::run_end::kEndUnread
+                            : workflow::run_end::kNotStarted;
+}
+
 /// @return the need of a run's step; zero if its job is not known.
 core::resources NeedOfRun(const workflow::state& state,
                           const workflow::run_id& run) {
@@ -228,7 +237,8 @@
 }
 
 /// Sends a poll, again and without a wait while it has no answer: a lost answer
-/// hides ends. The lease is the same in all tries.
+/// hides ends. The lease is the same in all tries. Only the first one
+/// acknowledges ends: the worker may have crashed since.
 awaitable<poll_result> dispatcher::impl::SendPoll(
     std::shared_ptr<worker_monitor> monitor, poll_order order) {
   const auto self = shared_from_this();
@@ -237,7 +247,10 @@
   const auto send = [self, monitor, order](core::milliseconds timeout,
                                            bool is_repeated) {
     poll_order next = order;
-    if (is_repeated) next.wait = core::milliseconds(0);
+    if (is_repeated) {
+      next.wait = core::milliseconds(0);
+      next.recorded_ends = 0;
+    }
     ++self->load.polls;
     return self->workers.Poll(
         self->TargetOf(*monitor, self->RouteOf(is_repeated)), next, timeout);
@@ -263,9 +276,22 @@
   }
 }
 
+/// A worker discards the ends that a poll acknowledges, also the next
+/// incarnation, which numbers its ends anew. So only a poll that follows an
+/// answer acknowledges ends, only if there are new ones, and only one poll at a
+/// time.
+/// @return the number up to which ends are acknowledged; 0 for none.
+std::uint64_t dispatcher::impl::EndsToAcknowledge(
+    const worker_monitor& monitor) const {
+  const bool has_new = monitor.recorded_ends > monitor.acknowledged_ends;
+  const bool may_acknowledge = !monitor.unanswered && !monitor.acknowledging;
+  return has_new && may_acknowledge ? monitor.recorded_ends : 0;
+}
+
 awaitable<poll_outcome> dispatcher::impl::Poll(
     std::shared_ptr<worker_monitor> monitor, core::milliseconds wait) {
-  poll_order order{term, monitor->recorded_ends, std::nullopt, wait};
+  poll_order order{monitor->fence, EndsToAcknowledge(*monitor), std::nullopt,
+                   wait};
   // A poll without an answer may have been carried out. The lease is not
   // renewed after it, so that the lease expires while the worker is silent.
   if (!monitor->runs.IsEmpty() && !monitor->unanswered &&
@@ -274,17 +300,25 @@
   }
   ResolveExpiredStarts(*monitor);
   const std::uint64_t poll_number = ++monitor->polls_sent;
-  const std::uint64_t acknowledged = order.recorded_ends;
+  const std::uint64_t recorded_before = monitor->recorded_ends;
   const std::uint64_t reports_before = monitor->reports_received;
+  const bool acknowledges = order.recorded_ends > 0;
+  if (acknowledges) monitor->acknowledging = true;
   auto result = co_await SendPoll(monitor, order);
+  if (acknowledges) monitor->acknowledging = false;
   if (stopped || monitor->removed) co_return poll_outcome::kUnanswered;
   if (std::holds_alternative<not_sent>(result)) {
     ++load.not_sent;
     co_return poll_outcome::kNotSent;
   }
   if (auto* const report = std::get_if<worker_report>(&result)) {
-    monitor->acknowledged_ends =
-        std::max(monitor->acknowledged_ends, acknowledged);
+    // Another try than the one that acknowledged them may have been answered.
+    const bool lists_recorded = !report->ended.empty() &&
+                                report->ended.front().number <= recorded_before;
+    if (!lists_recorded) {
+      monitor->acknowledged_ends =
+          std::max(monitor->acknowledged_ends, recorded_before);
+    }
     monitor->unanswered = false;
     if (std::exchange(monitor->has_lapsed, false)) NoteOrderFailure(*monitor);
     const bool overtaken = monitor->reports_received != reports_before;
@@ -296,9 +330,9 @@
   if (!std::exchange(monitor->unanswered, true)) {
     monitor->unanswered_since = clock.Now();
     // The poll may still be carried out, also by a later incarnation.
-    spdlog::info("poll_unanswered worker={} born={} term={} acknowledged={}",
+    spdlog::info("poll_unanswered worker={} born={} fence={} acknowledged={}",
                  monitor->worker.key.id.v, monitor->worker.key.incarnation,
-                 term, acknowledged);
+                 monitor->fence.v, order.recorded_ends);
   }
   ++load.polls_unanswered;
   if (std::holds_alternative<other_incarnation>(result)) {
@@ -306,8 +340,9 @@
     co_await RemoveWorker(monitor, worker_loss::kAddressTaken,
                           std::move(reason));
   } else if (std::holds_alternative<order_refused>(result)) {
-    spdlog::warn("poll_refused worker={} term={}", monitor->worker.key.id.v,
-                 term);
+    spdlog::warn("poll_refused worker={} born={} fence={}",
+                 monitor->worker.key.id.v, monitor->worker.key.incarnation,
+                 monitor->fence.v);
   }
   co_return poll_outcome::kUnanswered;
 }
@@ -429,13 +464,10 @@
                        *tracked.resolved_after_poll < poll_number;
     if (!known || listed.contains(run)) continue;
     if (!event_log.State().IsAssigned(run)) continue;
-    const auto ending = tracked.loss.value_or(workflow::run_end::kNotStarted);
-    // `started` with `how=not_started` contradict each other: this incarnation
-    // has had the run, and its end was never listed.
-    spdlog::info("run_missing run={} worker={} born={} how={} started={}",
-                 Name(run), monitor.worker.key.id.v,
-                 monitor.worker.key.incarnation, Name(ending),
-                 tracked.started_at.has_value());
+    const workflow::run_end ending = EndingOfMissing(tracked);
+    spdlog::info("run_missing run={} worker={} born={} how={}", Name(run),
+                 monitor.worker.key.id.v, monitor.worker.key.incarnation,
+                 Name(ending));
     events.emplace_back(workflow::run_ended{run, ending, {}});
   }
   return events;
@@ -456,8 +488,9 @@
   if (monitor == nullptr || monitor->removed || monitor->unanswered) {
     co_return false;
   }
-  // Neither renews the lease nor acknowledges more than is recorded.
-  const poll_order order{term, monitor->recorded_ends, std::nullopt,
+  // Neither renews the lease nor acknowledges ends: it may reach the next
+  // incarnation.
+  const poll_order order{monitor->fence, 0, std::nullopt,
                          core::milliseconds(0)};
   const worker_target to = TargetOf(*monitor, order_route::kDirect);
   const auto result = co_await workers.Poll(to, order, kConfirmationTimeout);
