Keep the first review's cases out of the address block of a soak

The requests had 404. Cause: soaks and these cases use the same addresses, 127.BLOCK.10.N and .20.N, and choose the block in the same way, by the process id. Each claims its block on a port of its own (8160 and 8169), so that a case beside a soak could take the soak's block. Logs of the case: three controllers and both gateways found their addresses in use; controller-4 and -5 joined the soak's cell (members_learned 3 to 5), and a catalog of the case was acknowledged there. Change: the cases claim their block on the soak's port. Checks, bounds and records of the cases are as they were.

--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -19,7 +19,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 ADDRESS_BLOCKS = 200
-CLAIM_PORT = 8169
+# As in platform/soak/soak.py, which uses the same addresses.
+CLAIM_PORT = 8160
 HOST = "queue.example"
 MAX_RUN_S = 112
 # As on the users' small deployments.
