Read no tasks of a job that has dropped them

What operators would see: nothing so far; at worst a leader that crashes. Cause: the last end of a job drops its tasks, and the line on the end of a step then read their number beyond the size of the vector. That went well only because the vector kept its memory. Change: the phase of such a job tells whether the step is done.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -278,7 +278,13 @@
   if (event.ending == workflow::run_end::kFailed) LogAttempts(*job, event.run);
   const workflow::task_id& task = event.run.task;
   const workflow::step& step = job->spec.steps[task.step];
-  if (job->unfinished_tasks[job->StepIndex(task.occurrence, task.step)] == 0) {
+  // The tasks of a job are dropped with its last run.
+  const bool is_step_done =
+      job->unfinished_tasks.empty()
+          ? job->phase == workflow::job_phase::kSucceeded
+          : job->unfinished_tasks[job->StepIndex(task.occurrence, task.step)] ==
+                0;
+  if (is_step_done) {
     timeline.LogEnd({task.job, task.occurrence, task.step}, job->queue.name,
                     step.gang, step.count, clock.Now());
   }
