--- a/include/mangoplank/workflow/messages.h
+++ b/include/mangoplank/workflow/messages.h
@@ -25,15 +25,19 @@
   job_address address;
   /// The leader sets the id from the address.
   job_spec spec;
+  /// Of the key that the caller sent, if it sent one.
+  std::optional<tenancy::key_digest> key;
   friend bool operator==(const submit_job&, const submit_job&) = default;
 };
 /// Reads a job, or the queue if the address names no job.
 struct get_job {
   job_address address;
+  std::optional<tenancy::key_digest> key;
   friend bool operator==(const get_job&, const get_job&) = default;
 };
 struct cancel_job {
   job_address address;
+  std::optional<tenancy::key_digest> key;
   friend bool operator==(const cancel_job&, const cancel_job&) = default;
 };
 /// A worker's periodic report of its state.
--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "mangoplank/tenancy/directory.h"
 #include "mangoplank/workflow/types.h"
 
 /// Replicated state of workflows. Every change is an event in the log; all
@@ -25,6 +26,8 @@
   /// The queue as declared then; stays valid for the job if it is removed.
   workflow::queue queue;
   core::wall_time_ms accepted_at = 0;
+  /// The tenant as declared then.
+  tenancy::terms tenant;
   friend bool operator==(const job_accepted&, const job_accepted&) = default;
 };
 struct job_cancelled {
@@ -120,6 +123,8 @@
   /// The queue as declared when the job was accepted.
   workflow::queue queue;
   core::wall_time_ms accepted_at = 0;
+  /// The tenant as declared when the job was accepted.
+  tenancy::terms tenant;
   /// Queued until a worker has confirmed the start of a task; an assigned run
   /// may wait for a worker that does not answer.
   job_phase phase = job_phase::kQueued;
@@ -164,6 +169,16 @@
   /// @return the queue at the address of the job's queue as currently declared,
   /// or as it was when the job was accepted if none is declared there.
   const queue& QueueOf(const job& job) const;
+  /// @return the terms of the job's tenant as currently declared, or as they
+  /// were when the job was accepted if the tenant is no longer declared.
+  const tenancy::terms& TenantOf(const job& job) const;
+  /// @return whether callers of queues that are not anonymous need a key.
+  bool HasTenants() const { return catalog_.tenants.has_value(); }
+  const tenancy::directory& Tenants() const { return tenants_; }
+  /// @return the tenant of a caller of the queue, without a name if the caller
+  /// needs no key; null if it needs one and sent none that is known.
+  const tenancy::terms* Authenticate(
+      const queue& queue, const std::optional<tenancy::key_digest>& key) const;
   /// @return the queue of a request: the one with the same host and the longest
   /// prefix of the path; null if there is none.
   const queue* Route(const std::string& host, const std::string& path) const;
@@ -210,12 +225,13 @@
   void EndRuns(const worker_key& worker);
   void TakeBackLosses(const worker_key& returned);
 
-  void IndexQueues();
+  void IndexCatalog();
 
   catalog catalog_;
   /// Indexes of the catalog's queues, ordered by address; there may be hundreds
   /// of queues.
   std::vector<std::size_t> queues_by_address_;
+  tenancy::directory tenants_;
   std::map<std::string, job> jobs_;
   std::map<core::worker_id, worker> workers_;
 };
--- a/include/mangoplank/workflow/types.h
+++ b/include/mangoplank/workflow/types.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "mangoplank/core/types.h"
+#include "mangoplank/tenancy/tenant.h"
 
 /// Workflows: jobs made of steps that depend on each other, submitted to
 /// queues that operators declare.
@@ -89,6 +90,8 @@
   double stretch_factor = 1;
   /// Set if only some workers may run a step.
   std::optional<eligibility_policy> eligibility;
+  /// Callers need no key, and the jobs belong to no tenant.
+  bool anonymous = false;
 
   friend bool operator==(const queue&, const queue&) = default;
 };
@@ -110,11 +113,13 @@
   friend bool operator==(const pool&, const pool&) = default;
 };
 
-/// Queues and pools that operators declare, under one version.
+/// Queues, pools and tenants that operators declare, under one version.
 struct catalog {
   std::uint64_t version = 0;
   std::vector<queue> queues;
   std::vector<pool> pools;
+  /// Callers need a key of a tenant; without a value every caller is anonymous.
+  std::optional<std::vector<tenancy::tenant>> tenants;
   /// The declaration as it was received, for reading it back.
   std::string document;
 
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -30,6 +30,16 @@
   return core::not_found{address.host + address.path};
 }
 
+/// Callers that need no key may access each job of the queue, and each caller
+/// those that were accepted without one.
+bool MayAccess(const tenancy::terms& caller, const workflow::job& job) {
+  return caller.name.empty() || job.tenant.name.empty() ||
+         caller.name == job.tenant.name;
+}
+
+/// The caller has a key, but of another tenant than the job's.
+core::failure OfAnotherTenant() { return core::forbidden{"another tenant"}; }
+
 core::failure Invalid(std::string field, std::string reason) {
   return core::invalid_request{{{std::move(field), std::move(reason)}}};
 }
@@ -168,8 +178,11 @@
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::submit_job request) {
-  // What is applied is committed, so that this needs no confirmation.
-  if (IsAccepted(request.address)) co_return workflow::accepted{};
+  // What is applied is committed, so that this needs no confirmation. A key
+  // does: it may have been removed by a catalog that is not applied here yet.
+  if (!machine.State().HasTenants() && IsAccepted(request.address)) {
+    co_return workflow::accepted{};
+  }
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
   const workflow::state& state = machine.State();
@@ -179,18 +192,23 @@
   const workflow::queue* const queue =
       state.Route(request.address.host, request.address.path);
   if (queue == nullptr) co_return QueueNotFound(request.address);
+  const tenancy::terms* const tenant = state.Authenticate(*queue, request.key);
+  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
   request.spec.id = request.address.path.substr(queue->path_prefix.size());
   if (auto invalid = FindInvalidField(request.spec)) {
     co_return std::move(*invalid);
   }
-  if (IsAccepted(request.address)) co_return workflow::accepted{};
+  if (const workflow::job* const known = FindJob(*queue, request.address)) {
+    if (!MayAccess(*tenant, *known)) co_return OfAnotherTenant();
+    co_return workflow::accepted{};
+  }
   if (state.FindJob(request.spec.id) != nullptr) {
     co_return Invalid("id", "is the id of a job of another queue");
   }
   const std::string id = request.spec.id;
   if (active_dispatcher) active_dispatcher->Prepare(request.spec, *queue);
-  workflow::event event =
-      workflow::job_accepted{std::move(request.spec), *queue, clock.WallNow()};
+  workflow::event event = workflow::job_accepted{
+      std::move(request.spec), *queue, clock.WallNow(), *tenant};
   auto answer = co_await RecordOne(std::move(event));
   if (active_dispatcher && state.FindJob(id) == nullptr) {
     active_dispatcher->DiscardPrepared(id);
@@ -209,6 +227,9 @@
   const workflow::queue* const queue =
       machine.State().Route(request.address.host, request.address.path);
   if (queue == nullptr) co_return QueueNotFound(request.address);
+  const tenancy::terms* const tenant =
+      machine.State().Authenticate(*queue, request.key);
+  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
   if (request.address.path == queue->path_prefix) {
     const workflow::queue_view view{machine.State().CountQueued(*queue)};
     const auto confirmed_before = clock.Now() - node.LeadershipConfirmedAt();
@@ -223,6 +244,7 @@
   }
   const workflow::job* const job = FindJob(*queue, request.address);
   if (job == nullptr) co_return workflow::job_not_found{};
+  if (!MayAccess(*tenant, *job)) co_return OfAnotherTenant();
   co_return workflow::job_view{job->phase, job->failure};
 }
 
@@ -232,8 +254,12 @@
   const workflow::queue* const queue =
       machine.State().Route(request.address.host, request.address.path);
   if (queue == nullptr) co_return QueueNotFound(request.address);
+  const tenancy::terms* const tenant =
+      machine.State().Authenticate(*queue, request.key);
+  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
   const workflow::job* const job = FindJob(*queue, request.address);
   if (job == nullptr) co_return workflow::job_not_found{};
+  if (!MayAccess(*tenant, *job)) co_return OfAnotherTenant();
   if (IsFinal(job->phase)) co_return workflow::accepted{};
   const std::string id = job->spec.id;
   workflow::event event = workflow::job_cancelled{id};
--- a/src/wire/convert.h
+++ b/src/wire/convert.h
@@ -9,6 +9,7 @@
 #include "mangoplank/cell/state.h"
 #include "mangoplank/consensus/messages.h"
 #include "mangoplank/control/messages.h"
+#include "mangoplank/tenancy/tenant.h"
 #include "mangoplank/wire/codec.h"
 #include "wire/cell.capnp.h"
 #include "wire/consensus.capnp.h"
@@ -43,6 +44,11 @@
 inline std::string String(capnp::Data::Reader bytes) {
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
+inline capnp::Data::Reader DigestData(const tenancy::key_digest& digest) {
+  return {digest.bytes.data(), digest.bytes.size()};
+}
+/// @return no value if `bytes` is empty.
+std::optional<tenancy::key_digest> ReadDigest(capnp::Data::Reader bytes);
 inline std::int64_t Number(core::milliseconds duration) {
   return duration.count();
 }
--- a/src/wire/convert_core.cpp
+++ b/src/wire/convert_core.cpp
@@ -10,6 +10,14 @@
   remaining_ -= count * bytes_each;
 }
 
+std::optional<tenancy::key_digest> ReadDigest(capnp::Data::Reader bytes) {
+  if (bytes.size() == 0) return std::nullopt;
+  tenancy::key_digest digest;
+  KJ_REQUIRE(bytes.size() == digest.bytes.size(), "digest of another size");
+  std::copy(bytes.begin(), bytes.end(), digest.bytes.begin());
+  return digest;
+}
+
 void Write(const core::resources& value, schema::Resources::Builder builder) {
   builder.setCpuMilli(value.cpu_milli);
   builder.setMemoryMib(value.memory_mib);
--- a/src/wire/convert_workflow.cpp
+++ b/src/wire/convert_workflow.cpp
@@ -114,6 +114,7 @@
   builder.setPool(Text(value.pool));
   builder.setMaxAttempts(value.max_attempts);
   builder.setStretchFactor(value.stretch_factor);
+  builder.setAnonymous(value.anonymous);
   builder.setHasEligibility(value.eligibility.has_value());
   if (!value.eligibility) return;
   builder.setDecisionMs(value.eligibility->decision_ms);
@@ -132,12 +133,49 @@
   value.pool = String(reader.getPool());
   value.max_attempts = reader.getMaxAttempts();
   value.stretch_factor = reader.getStretchFactor();
+  value.anonymous = reader.getAnonymous();
   if (!reader.getHasEligibility()) return;
   value.eligibility = workflow::eligibility_policy{reader.getDecisionMs(),
                                                    reader.getPerWorkerMs(),
                                                    reader.getTicketLifeMs()};
 }
 
+static void Write(const tenancy::terms& value,
+                  schema::TenantTerms::Builder builder) {
+  builder.setName(Text(value.name));
+  builder.setWeight(value.weight);
+  Write(value.cap, builder.initCap());
+}
+
+static void Read(schema::TenantTerms::Reader reader, tenancy::terms& value,
+                 memory_budget& budget) {
+  value.name = String(reader.getName());
+  value.weight = reader.getWeight();
+  Read(reader.getCap(), value.cap, budget);
+}
+
+static void Read(capnp::Data::Reader reader, tenancy::key_digest& value,
+                 memory_budget&) {
+  const auto digest = ReadDigest(reader);
+  KJ_REQUIRE(digest.has_value(), "a key without a digest");
+  value = *digest;
+}
+
+static void Write(const tenancy::tenant& value,
+                  schema::TenantSpec::Builder builder) {
+  Write(value.terms, builder.initTerms());
+  auto keys = builder.initKeys(value.keys.size());
+  for (std::size_t i = 0; i < value.keys.size(); ++i) {
+    keys.set(static_cast<unsigned>(i), DigestData(value.keys[i]));
+  }
+}
+
+static void Read(schema::TenantSpec::Reader reader, tenancy::tenant& value,
+                 memory_budget& budget) {
+  Read(reader.getTerms(), value.terms, budget);
+  ReadList(reader.getKeys(), value.keys, budget);
+}
+
 void Write(const workflow::catalog& value, schema::Catalog::Builder builder) {
   builder.setVersion(value.version);
   auto queues = builder.initQueues(value.queues.size());
@@ -152,6 +190,12 @@
     p.setStandby(value.pools[i].standby);
   }
   builder.setDocument(Data(value.document));
+  builder.setHasTenants(value.tenants.has_value());
+  if (!value.tenants) return;
+  auto tenants = builder.initTenants(value.tenants->size());
+  for (std::size_t i = 0; i < value.tenants->size(); ++i) {
+    Write((*value.tenants)[i], tenants[static_cast<unsigned>(i)]);
+  }
 }
 
 static void Read(schema::PoolSpec::Reader reader, workflow::pool& value,
@@ -167,6 +211,8 @@
   ReadList(reader.getQueues(), value.queues, budget);
   ReadList(reader.getPools(), value.pools, budget);
   value.document = String(reader.getDocument());
+  if (!reader.getHasTenants()) return;
+  ReadList(reader.getTenants(), value.tenants.emplace(), budget);
 }
 
 void Write(const workflow::worker_key& value,
@@ -239,6 +285,7 @@
   Write(value.spec, g.initSpec());
   Write(value.queue, g.initQueue());
   g.setAt(value.accepted_at);
+  Write(value.tenant, g.initTenant());
 }
 static void WriteEvent(const workflow::job_cancelled& value,
                        schema::WorkflowEvent::Builder builder) {
@@ -290,6 +337,7 @@
       Read(g.getSpec(), value.spec, budget);
       Read(g.getQueue(), value.queue, budget);
       value.accepted_at = g.getAt();
+      Read(g.getTenant(), value.tenant, budget);
       return value;
     }
     case WorkflowEvent::JOB_CANCELLED:
@@ -355,6 +403,7 @@
   Write(value.spec, builder.initSpec());
   Write(value.queue, builder.initQueue());
   builder.setAcceptedAt(value.accepted_at);
+  Write(value.tenant, builder.initTenant());
   builder.setPhase(Number(value.phase));
   builder.setFailure(Number(value.failure));
   auto tasks = builder.initTasks(value.tasks.size());
@@ -385,6 +434,7 @@
   Read(reader.getSpec(), value.spec, budget);
   Read(reader.getQueue(), value.queue, budget);
   value.accepted_at = reader.getAcceptedAt();
+  Read(reader.getTenant(), value.tenant, budget);
   value.phase = Enumerator(reader.getPhase(), workflow::job_phase::kCancelled);
   value.failure =
       Enumerator(reader.getFailure(), workflow::job_failure::kWorkerCrashes);
--- a/src/wire/convert_workflow_messages.cpp
+++ b/src/wire/convert_workflow_messages.cpp
@@ -27,14 +27,19 @@
   auto g = builder.initSubmit();
   Write(value.address, g.initTo());
   Write(value.spec, g.initSpec());
+  if (value.key) g.setKey(DigestData(*value.key));
 }
 static void WriteRequest(const workflow::get_job& value,
                          schema::WorkflowRequest::Builder builder) {
-  Write(value.address, builder.initGet());
+  auto query = builder.initGet();
+  Write(value.address, query.initAddress());
+  if (value.key) query.setKey(DigestData(*value.key));
 }
 static void WriteRequest(const workflow::cancel_job& value,
                          schema::WorkflowRequest::Builder builder) {
-  Write(value.address, builder.initCancel());
+  auto query = builder.initCancel();
+  Write(value.address, query.initAddress());
+  if (value.key) query.setKey(DigestData(*value.key));
 }
 static void WriteRequest(const workflow::worker_heartbeat& value,
                          schema::WorkflowRequest::Builder builder) {
@@ -70,12 +75,15 @@
       workflow::submit_job value;
       value.address = ReadAddress(reader.getSubmit().getTo());
       Read(reader.getSubmit().getSpec(), value.spec, budget);
+      value.key = ReadDigest(reader.getSubmit().getKey());
       return value;
     }
     case WorkflowRequest::GET:
-      return workflow::get_job{ReadAddress(reader.getGet())};
+      return workflow::get_job{ReadAddress(reader.getGet().getAddress()),
+                               ReadDigest(reader.getGet().getKey())};
     case WorkflowRequest::CANCEL:
-      return workflow::cancel_job{ReadAddress(reader.getCancel())};
+      return workflow::cancel_job{ReadAddress(reader.getCancel().getAddress()),
+                                  ReadDigest(reader.getCancel().getKey())};
     case WorkflowRequest::ANNOUNCE: {
       workflow::worker_heartbeat value;
       Read(reader.getAnnounce().getWorker(), value.worker, budget);
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -44,6 +44,18 @@
   decisionMs @10 :Float64;
   perWorkerMs @11 :Float64;
   ticketLifeMs @12 :Int64;
+  anonymous @13 :Bool;
+}
+
+struct TenantTerms {
+  name @0 :Text;
+  weight @1 :Float64;
+  cap @2 :Cell.Resources;
+}
+
+struct TenantSpec {
+  terms @0 :TenantTerms;
+  keys @1 :List(Data);
 }
 
 struct PoolSpec {
@@ -57,6 +69,8 @@
   queues @1 :List(QueueSpec);
   pools @2 :List(PoolSpec);
   document @3 :Data;
+  hasTenants @4 :Bool;
+  tenants @5 :List(TenantSpec);
 }
 
 struct WorkerKey {
@@ -94,6 +108,7 @@
       spec @1 :JobSpec;
       queue @2 :QueueSpec;
       at @3 :Int64;
+      tenant @15 :TenantTerms;
     }
     jobCancelled @4 :Text;
     runAssigned :group {
@@ -145,6 +160,7 @@
   tasks @4 :List(WorkflowTask);
   left @5 :List(UInt32);
   failure @6 :UInt8;
+  tenant @7 :TenantTerms;
 }
 
 struct WorkflowImage {
@@ -158,15 +174,22 @@
   path @1 :Text;
 }
 
+struct JobQuery {
+  address @0 :JobAddress;
+  # SHA-256 of the caller's key; empty if it sent none.
+  key @1 :Data;
+}
+
 struct WorkflowRequest {
   id @0 :UInt64;
   union {
     submit :group {
       to @1 :JobAddress;
       spec @2 :JobSpec;
+      key @12 :Data;
     }
-    get @3 :JobAddress;
-    cancel @4 :JobAddress;
+    get @3 :JobQuery;
+    cancel @4 :JobQuery;
     announce :group {
       worker @5 :WorkerSpec;
       clockMs @6 :Int64;
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -21,6 +21,8 @@
 CAPNP_DECLARE_SCHEMA(c2d48c490e1dde55);
 CAPNP_DECLARE_SCHEMA(8c5ae8915b2ff571);
 CAPNP_DECLARE_SCHEMA(802944c13e77eb28);
+CAPNP_DECLARE_SCHEMA(ce468e43f4ac78e7);
+CAPNP_DECLARE_SCHEMA(b586631db820c56a);
 CAPNP_DECLARE_SCHEMA(ffefc5c703d27f11);
 CAPNP_DECLARE_SCHEMA(8e172f1373cb883a);
 CAPNP_DECLARE_SCHEMA(d4e92e9fc0e85888);
@@ -37,6 +39,7 @@
 CAPNP_DECLARE_SCHEMA(968e339406cdbf6f);
 CAPNP_DECLARE_SCHEMA(e64e798365b18cb5);
 CAPNP_DECLARE_SCHEMA(83cb9fe53bda8710);
+CAPNP_DECLARE_SCHEMA(c02a88e91c4a08b9);
 CAPNP_DECLARE_SCHEMA(b586861e93a3549d);
 CAPNP_DECLARE_SCHEMA(81985cfc8bc880f7);
 CAPNP_DECLARE_SCHEMA(834f5815b8497272);
@@ -110,6 +113,36 @@
   };
 };
 
+struct TenantTerms {
+  TenantTerms() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ce468e43f4ac78e7, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TenantSpec {
+  TenantSpec() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b586631db820c56a, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PoolSpec {
   PoolSpec() = delete;
 
@@ -133,7 +166,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e172f1373cb883a, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8e172f1373cb883a, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -222,7 +255,7 @@
   struct RunEnded;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2c7399e551c6ebf, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c2c7399e551c6ebf, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -237,7 +270,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c780ba0ef2aacf01, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c780ba0ef2aacf01, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -252,7 +285,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2e909a4b7f1b58a, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c2e909a4b7f1b58a, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -267,7 +300,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(842430a3af05fb4d, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(842430a3af05fb4d, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -327,7 +360,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(968e339406cdbf6f, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(968e339406cdbf6f, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -364,6 +397,21 @@
   };
 };
 
+struct JobQuery {
+  JobQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c02a88e91c4a08b9, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct WorkflowRequest {
   WorkflowRequest() = delete;
 
@@ -385,7 +433,7 @@
   struct JoinMembers;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -400,7 +448,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -415,7 +463,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -430,7 +478,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1036,6 +1084,8 @@
 
   inline  ::int64_t getTicketLifeMs() const;
 
+  inline bool getAnonymous() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1119,6 +1169,9 @@
   inline  ::int64_t getTicketLifeMs();
   inline void setTicketLifeMs( ::int64_t value);
 
+  inline bool getAnonymous();
+  inline void setAnonymous(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1145,6 +1198,196 @@
 };
 #endif  // !CAPNP_LITE
 
+class TenantTerms::Reader {
+public:
+  typedef TenantTerms Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline double getWeight() const;
+
+  inline bool hasCap() const;
+  inline  ::mangoplank::wire::schema::Resources::Reader getCap() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TenantTerms::Builder {
+public:
+  typedef TenantTerms Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline double getWeight();
+  inline void setWeight(double value);
+
+  inline bool hasCap();
+  inline  ::mangoplank::wire::schema::Resources::Builder getCap();
+  inline void setCap( ::mangoplank::wire::schema::Resources::Reader value);
+  inline  ::mangoplank::wire::schema::Resources::Builder initCap();
+  inline void adoptCap(::capnp::Orphan< ::mangoplank::wire::schema::Resources>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::Resources> disownCap();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TenantTerms::Pipeline {
+public:
+  typedef TenantTerms Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangoplank::wire::schema::Resources::Pipeline getCap();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TenantSpec::Reader {
+public:
+  typedef TenantSpec Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTerms() const;
+  inline  ::mangoplank::wire::schema::TenantTerms::Reader getTerms() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TenantSpec::Builder {
+public:
+  typedef TenantSpec Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTerms();
+  inline  ::mangoplank::wire::schema::TenantTerms::Builder getTerms();
+  inline void setTerms( ::mangoplank::wire::schema::TenantTerms::Reader value);
+  inline  ::mangoplank::wire::schema::TenantTerms::Builder initTerms();
+  inline void adoptTerms(::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms> disownTerms();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value);
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownKeys();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TenantSpec::Pipeline {
+public:
+  typedef TenantSpec Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangoplank::wire::schema::TenantTerms::Pipeline getTerms();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PoolSpec::Reader {
 public:
   typedef PoolSpec Reads;
@@ -1264,6 +1507,11 @@
   inline bool hasDocument() const;
   inline  ::capnp::Data::Reader getDocument() const;
 
+  inline bool getHasTenants() const;
+
+  inline bool hasTenants() const;
+  inline  ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Reader getTenants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1316,6 +1564,16 @@
   inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownDocument();
 
+  inline bool getHasTenants();
+  inline void setHasTenants(bool value);
+
+  inline bool hasTenants();
+  inline  ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Builder getTenants();
+  inline void setTenants( ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Builder initTenants(unsigned int size);
+  inline void adoptTenants(::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>> disownTenants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1948,6 +2206,9 @@
 
   inline  ::int64_t getAt() const;
 
+  inline bool hasTenant() const;
+  inline  ::mangoplank::wire::schema::TenantTerms::Reader getTenant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1993,6 +2254,13 @@
   inline  ::int64_t getAt();
   inline void setAt( ::int64_t value);
 
+  inline bool hasTenant();
+  inline  ::mangoplank::wire::schema::TenantTerms::Builder getTenant();
+  inline void setTenant( ::mangoplank::wire::schema::TenantTerms::Reader value);
+  inline  ::mangoplank::wire::schema::TenantTerms::Builder initTenant();
+  inline void adoptTenant(::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms> disownTenant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2013,6 +2281,7 @@
 
   inline  ::mangoplank::wire::schema::JobSpec::Pipeline getSpec();
   inline  ::mangoplank::wire::schema::QueueSpec::Pipeline getQueue();
+  inline  ::mangoplank::wire::schema::TenantTerms::Pipeline getTenant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2561,6 +2830,9 @@
 
   inline  ::uint8_t getFailure() const;
 
+  inline bool hasTenant() const;
+  inline  ::mangoplank::wire::schema::TenantTerms::Reader getTenant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2627,6 +2899,13 @@
   inline  ::uint8_t getFailure();
   inline void setFailure( ::uint8_t value);
 
+  inline bool hasTenant();
+  inline  ::mangoplank::wire::schema::TenantTerms::Builder getTenant();
+  inline void setTenant( ::mangoplank::wire::schema::TenantTerms::Reader value);
+  inline  ::mangoplank::wire::schema::TenantTerms::Builder initTenant();
+  inline void adoptTenant(::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms> disownTenant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2647,6 +2926,7 @@
 
   inline  ::mangoplank::wire::schema::JobSpec::Pipeline getSpec();
   inline  ::mangoplank::wire::schema::QueueSpec::Pipeline getQueue();
+  inline  ::mangoplank::wire::schema::TenantTerms::Pipeline getTenant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2848,9 +3128,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WorkflowRequest::Reader {
+class JobQuery::Reader {
 public:
-  typedef WorkflowRequest Reads;
+  typedef JobQuery Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2865,36 +3145,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline  ::uint64_t getId() const;
-
-  inline bool isSubmit() const;
-  inline typename Submit::Reader getSubmit() const;
-
-  inline bool isGet() const;
-  inline bool hasGet() const;
-  inline  ::mangoplank::wire::schema::JobAddress::Reader getGet() const;
-
-  inline bool isCancel() const;
-  inline bool hasCancel() const;
-  inline  ::mangoplank::wire::schema::JobAddress::Reader getCancel() const;
-
-  inline bool isAnnounce() const;
-  inline typename Announce::Reader getAnnounce() const;
-
-  inline bool isRemoveWorker() const;
-  inline bool hasRemoveWorker() const;
-  inline  ::mangoplank::wire::schema::WorkerKey::Reader getRemoveWorker() const;
-
-  inline bool isDeclare() const;
-  inline bool hasDeclare() const;
-  inline  ::mangoplank::wire::schema::Catalog::Reader getDeclare() const;
-
-  inline bool isReadCatalog() const;
-  inline  ::capnp::Void getReadCatalog() const;
+  inline bool hasAddress() const;
+  inline  ::mangoplank::wire::schema::JobAddress::Reader getAddress() const;
 
-  inline bool isJoinMembers() const;
-  inline typename JoinMembers::Reader getJoinMembers() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Data::Reader getKey() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2908,9 +3163,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WorkflowRequest::Builder {
+class JobQuery::Builder {
 public:
-  typedef WorkflowRequest Builds;
+  typedef JobQuery Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2924,35 +3179,152 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasAddress();
+  inline  ::mangoplank::wire::schema::JobAddress::Builder getAddress();
+  inline void setAddress( ::mangoplank::wire::schema::JobAddress::Reader value);
+  inline  ::mangoplank::wire::schema::JobAddress::Builder initAddress();
+  inline void adoptAddress(::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> disownAddress();
 
-  inline bool isSubmit();
-  inline typename Submit::Builder getSubmit();
-  inline typename Submit::Builder initSubmit();
+  inline bool hasKey();
+  inline  ::capnp::Data::Builder getKey();
+  inline void setKey( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownKey();
 
-  inline bool isGet();
-  inline bool hasGet();
-  inline  ::mangoplank::wire::schema::JobAddress::Builder getGet();
-  inline void setGet( ::mangoplank::wire::schema::JobAddress::Reader value);
-  inline  ::mangoplank::wire::schema::JobAddress::Builder initGet();
-  inline void adoptGet(::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> disownGet();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isCancel();
-  inline bool hasCancel();
-  inline  ::mangoplank::wire::schema::JobAddress::Builder getCancel();
-  inline void setCancel( ::mangoplank::wire::schema::JobAddress::Reader value);
-  inline  ::mangoplank::wire::schema::JobAddress::Builder initCancel();
-  inline void adoptCancel(::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> disownCancel();
+#if !CAPNP_LITE
+class JobQuery::Pipeline {
+public:
+  typedef JobQuery Pipelines;
 
-  inline bool isAnnounce();
-  inline typename Announce::Builder getAnnounce();
-  inline typename Announce::Builder initAnnounce();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isRemoveWorker();
+  inline  ::mangoplank::wire::schema::JobAddress::Pipeline getAddress();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkflowRequest::Reader {
+public:
+  typedef WorkflowRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline  ::uint64_t getId() const;
+
+  inline bool isSubmit() const;
+  inline typename Submit::Reader getSubmit() const;
+
+  inline bool isGet() const;
+  inline bool hasGet() const;
+  inline  ::mangoplank::wire::schema::JobQuery::Reader getGet() const;
+
+  inline bool isCancel() const;
+  inline bool hasCancel() const;
+  inline  ::mangoplank::wire::schema::JobQuery::Reader getCancel() const;
+
+  inline bool isAnnounce() const;
+  inline typename Announce::Reader getAnnounce() const;
+
+  inline bool isRemoveWorker() const;
+  inline bool hasRemoveWorker() const;
+  inline  ::mangoplank::wire::schema::WorkerKey::Reader getRemoveWorker() const;
+
+  inline bool isDeclare() const;
+  inline bool hasDeclare() const;
+  inline  ::mangoplank::wire::schema::Catalog::Reader getDeclare() const;
+
+  inline bool isReadCatalog() const;
+  inline  ::capnp::Void getReadCatalog() const;
+
+  inline bool isJoinMembers() const;
+  inline typename JoinMembers::Reader getJoinMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkflowRequest::Builder {
+public:
+  typedef WorkflowRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool isSubmit();
+  inline typename Submit::Builder getSubmit();
+  inline typename Submit::Builder initSubmit();
+
+  inline bool isGet();
+  inline bool hasGet();
+  inline  ::mangoplank::wire::schema::JobQuery::Builder getGet();
+  inline void setGet( ::mangoplank::wire::schema::JobQuery::Reader value);
+  inline  ::mangoplank::wire::schema::JobQuery::Builder initGet();
+  inline void adoptGet(::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> disownGet();
+
+  inline bool isCancel();
+  inline bool hasCancel();
+  inline  ::mangoplank::wire::schema::JobQuery::Builder getCancel();
+  inline void setCancel( ::mangoplank::wire::schema::JobQuery::Reader value);
+  inline  ::mangoplank::wire::schema::JobQuery::Builder initCancel();
+  inline void adoptCancel(::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> disownCancel();
+
+  inline bool isAnnounce();
+  inline typename Announce::Builder getAnnounce();
+  inline typename Announce::Builder initAnnounce();
+
+  inline bool isRemoveWorker();
   inline bool hasRemoveWorker();
   inline  ::mangoplank::wire::schema::WorkerKey::Builder getRemoveWorker();
   inline void setRemoveWorker( ::mangoplank::wire::schema::WorkerKey::Reader value);
@@ -3025,6 +3397,9 @@
   inline bool hasSpec() const;
   inline  ::mangoplank::wire::schema::JobSpec::Reader getSpec() const;
 
+  inline bool hasKey() const;
+  inline  ::capnp::Data::Reader getKey() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3067,6 +3442,13 @@
   inline void adoptSpec(::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value);
   inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> disownSpec();
 
+  inline bool hasKey();
+  inline  ::capnp::Data::Builder getKey();
+  inline void setKey( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownKey();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5655,6 +6037,184 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QueueSpec::Reader::getAnonymous() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+
+inline bool QueueSpec::Builder::getAnonymous() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+inline void QueueSpec::Builder::setAnonymous(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TenantTerms::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TenantTerms::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TenantTerms::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TenantTerms::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TenantTerms::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TenantTerms::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TenantTerms::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TenantTerms::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double TenantTerms::Reader::getWeight() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double TenantTerms::Builder::getWeight() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TenantTerms::Builder::setWeight(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TenantTerms::Reader::hasCap() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TenantTerms::Builder::hasCap() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::Resources::Reader TenantTerms::Reader::getCap() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::Resources::Builder TenantTerms::Builder::getCap() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::Resources::Pipeline TenantTerms::Pipeline::getCap() {
+  return  ::mangoplank::wire::schema::Resources::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void TenantTerms::Builder::setCap( ::mangoplank::wire::schema::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::Resources::Builder TenantTerms::Builder::initCap() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TenantTerms::Builder::adoptCap(
+    ::capnp::Orphan< ::mangoplank::wire::schema::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::Resources> TenantTerms::Builder::disownCap() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool TenantSpec::Reader::hasTerms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TenantSpec::Builder::hasTerms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Reader TenantSpec::Reader::getTerms() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Builder TenantSpec::Builder::getTerms() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::TenantTerms::Pipeline TenantSpec::Pipeline::getTerms() {
+  return  ::mangoplank::wire::schema::TenantTerms::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TenantSpec::Builder::setTerms( ::mangoplank::wire::schema::TenantTerms::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Builder TenantSpec::Builder::initTerms() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TenantSpec::Builder::adoptTerms(
+    ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms> TenantSpec::Builder::disownTerms() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TenantSpec::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TenantSpec::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader TenantSpec::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder TenantSpec::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TenantSpec::Builder::setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void TenantSpec::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder TenantSpec::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TenantSpec::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> TenantSpec::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool PoolSpec::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5833,6 +6393,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Catalog::Reader::getHasTenants() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Catalog::Builder::getHasTenants() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Catalog::Builder::setHasTenants(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Catalog::Reader::hasTenants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalog::Builder::hasTenants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getTenants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getTenants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Catalog::Builder::setTenants( ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initTenants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Catalog::Builder::adoptTenants(
+    ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownTenants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangoplank::wire::schema::TenantSpec,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool WorkerKey::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6346,6 +6954,7 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename WorkflowEvent::JobAccepted::Builder(_builder);
 }
 inline bool WorkflowEvent::Reader::isJobCancelled() const {
@@ -6764,6 +7373,45 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WorkflowEvent::JobAccepted::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowEvent::JobAccepted::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Reader WorkflowEvent::JobAccepted::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Builder WorkflowEvent::JobAccepted::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::TenantTerms::Pipeline WorkflowEvent::JobAccepted::Pipeline::getTenant() {
+  return  ::mangoplank::wire::schema::TenantTerms::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void WorkflowEvent::JobAccepted::Builder::setTenant( ::mangoplank::wire::schema::TenantTerms::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Builder WorkflowEvent::JobAccepted::Builder::initTenant() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WorkflowEvent::JobAccepted::Builder::adoptTenant(
+    ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms> WorkflowEvent::JobAccepted::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool WorkflowEvent::RunAssigned::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7441,6 +8089,45 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WorkflowJob::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowJob::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Reader WorkflowJob::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Builder WorkflowJob::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::TenantTerms::Pipeline WorkflowJob::Pipeline::getTenant() {
+  return  ::mangoplank::wire::schema::TenantTerms::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void WorkflowJob::Builder::setTenant( ::mangoplank::wire::schema::TenantTerms::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::TenantTerms::Builder WorkflowJob::Builder::initTenant() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void WorkflowJob::Builder::adoptTenant(
+    ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::TenantTerms> WorkflowJob::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::TenantTerms>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool WorkflowImage::Reader::hasCatalog() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7616,6 +8303,79 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool JobQuery::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobQuery::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangoplank::wire::schema::JobAddress::Reader JobQuery::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangoplank::wire::schema::JobAddress::Builder JobQuery::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangoplank::wire::schema::JobAddress::Pipeline JobQuery::Pipeline::getAddress() {
+  return  ::mangoplank::wire::schema::JobAddress::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void JobQuery::Builder::setAddress( ::mangoplank::wire::schema::JobAddress::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangoplank::wire::schema::JobAddress::Builder JobQuery::Builder::initAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobQuery::Builder::adoptAddress(
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> JobQuery::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JobQuery::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobQuery::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader JobQuery::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder JobQuery::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobQuery::Builder::setKey( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder JobQuery::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobQuery::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> JobQuery::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::mangoplank::wire::schema::WorkflowRequest::Which WorkflowRequest::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -7660,6 +8420,7 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::SUBMIT);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename WorkflowRequest::Submit::Builder(_builder);
 }
 inline bool WorkflowRequest::Reader::isGet() const {
@@ -7678,41 +8439,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getGet() const {
+inline  ::mangoplank::wire::schema::JobQuery::Reader WorkflowRequest::Reader::getGet() const {
   KJ_IREQUIRE((which() == WorkflowRequest::GET),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getGet() {
+inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::getGet() {
   KJ_IREQUIRE((which() == WorkflowRequest::GET),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setGet( ::mangoplank::wire::schema::JobAddress::Reader value) {
+inline void WorkflowRequest::Builder::setGet( ::mangoplank::wire::schema::JobQuery::Reader value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initGet() {
+inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::initGet() {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void WorkflowRequest::Builder::adoptGet(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownGet() {
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> WorkflowRequest::Builder::disownGet() {
   KJ_IREQUIRE((which() == WorkflowRequest::GET),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -7732,41 +8493,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getCancel() const {
+inline  ::mangoplank::wire::schema::JobQuery::Reader WorkflowRequest::Reader::getCancel() const {
   KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getCancel() {
+inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::getCancel() {
   KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setCancel( ::mangoplank::wire::schema::JobAddress::Reader value) {
+inline void WorkflowRequest::Builder::setCancel( ::mangoplank::wire::schema::JobQuery::Reader value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initCancel() {
+inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::initCancel() {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void WorkflowRequest::Builder::adoptCancel(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownCancel() {
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> WorkflowRequest::Builder::disownCancel() {
   KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -8028,6 +8789,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool WorkflowRequest::Submit::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkflowRequest::Submit::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader WorkflowRequest::Submit::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder WorkflowRequest::Submit::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WorkflowRequest::Submit::Builder::setKey( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder WorkflowRequest::Submit::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void WorkflowRequest::Submit::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> WorkflowRequest::Submit::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool WorkflowRequest::Announce::Reader::hasWorker() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -123,10 +123,12 @@
 void state::On(const catalog_declared& event) {
   if (event.catalog.version <= catalog_.version) return;
   catalog_ = event.catalog;
-  IndexQueues();
+  IndexCatalog();
 }
 
-void state::IndexQueues() {
+void state::IndexCatalog() {
+  tenants_ = catalog_.tenants ? tenancy::directory(*catalog_.tenants)
+                              : tenancy::directory();
   queues_by_address_.resize(catalog_.queues.size());
   std::iota(queues_by_address_.begin(), queues_by_address_.end(), 0);
   std::sort(queues_by_address_.begin(), queues_by_address_.end(),
@@ -144,6 +146,7 @@
   job.spec = event.spec;
   job.queue = event.queue;
   job.accepted_at = event.accepted_at;
+  job.tenant = event.tenant;
   job.tasks.resize(std::size_t{job.CountOccurrences()} *
                    CountTasksPerOccurrence(job.spec));
   for (std::uint32_t occurrence = 0; occurrence < job.CountOccurrences();
@@ -344,6 +347,18 @@
   return HaveSameAddress(found, job.queue) ? found : job.queue;
 }
 
+const tenancy::terms& state::TenantOf(const job& job) const {
+  const tenancy::terms* const declared = tenants_.FindByName(job.tenant.name);
+  return declared == nullptr ? job.tenant : *declared;
+}
+
+const tenancy::terms* state::Authenticate(
+    const queue& queue, const std::optional<tenancy::key_digest>& key) const {
+  static const tenancy::terms kNoTenant;
+  if (!HasTenants() || queue.anonymous) return &kNoTenant;
+  return key ? tenants_.FindByKey(*key) : nullptr;
+}
+
 const queue* state::Route(const std::string& host,
                           const std::string& path) const {
   const queue* best = nullptr;
@@ -401,7 +416,7 @@
 state state::FromImage(const image& image) {
   state restored;
   restored.catalog_ = image.catalog;
-  restored.IndexQueues();
+  restored.IndexCatalog();
   for (const job& job : image.jobs) restored.jobs_.emplace(job.spec.id, job);
   for (const worker& worker : image.workers) {
     restored.workers_.emplace(worker.key.id, worker);
