--- a/src/wire/convert_workflow_messages.cpp
+++ b/src/wire/convert_workflow_messages.cpp
@@ -12,10 +12,14 @@
   value.v = String(reader);
 }
 
+/// The key is a field of the address, so that members of another version can
+/// read the address.
 static void Write(const workflow::job_address& value,
+                  const std::optional<tenancy::key_digest>& key,
                   schema::JobAddress::Builder builder) {
   builder.setHost(Text(value.host));
   builder.setPath(Text(value.path));
+  if (key) builder.setKey(DigestData(*key));
 }
 
 static workflow::job_address ReadAddress(schema::JobAddress::Reader reader) {
@@ -25,21 +29,16 @@
 static void WriteRequest(const workflow::submit_job& value,
                          schema::WorkflowRequest::Builder builder) {
   auto g = builder.initSubmit();
-  Write(value.address, g.initTo());
+  Write(value.address, value.key, g.initTo());
   Write(value.spec, g.initSpec());
-  if (value.key) g.setKey(DigestData(*value.key));
 }
 static void WriteRequest(const workflow::get_job& value,
                          schema::WorkflowRequest::Builder builder) {
-  auto query = builder.initGet();
-  Write(value.address, query.initAddress());
-  if (value.key) query.setKey(DigestData(*value.key));
+  Write(value.address, value.key, builder.initGet());
 }
 static void WriteRequest(const workflow::cancel_job& value,
                          schema::WorkflowRequest::Builder builder) {
-  auto query = builder.initCancel();
-  Write(value.address, query.initAddress());
-  if (value.key) query.setKey(DigestData(*value.key));
+  Write(value.address, value.key, builder.initCancel());
 }
 static void WriteRequest(const workflow::worker_heartbeat& value,
                          schema::WorkflowRequest::Builder builder) {
@@ -75,14 +74,14 @@
       workflow::submit_job value;
       value.address = ReadAddress(reader.getSubmit().getTo());
       Read(reader.getSubmit().getSpec(), value.spec, budget);
-      value.key = ReadDigest(reader.getSubmit().getKey());
+      value.key = ReadDigest(reader.getSubmit().getTo().getKey());
       return value;
     }
     case WorkflowRequest::GET:
-      return workflow::get_job{ReadAddress(reader.getGet().getAddress()),
+      return workflow::get_job{ReadAddress(reader.getGet()),
                                ReadDigest(reader.getGet().getKey())};
     case WorkflowRequest::CANCEL:
-      return workflow::cancel_job{ReadAddress(reader.getCancel().getAddress()),
+      return workflow::cancel_job{ReadAddress(reader.getCancel()),
                                   ReadDigest(reader.getCancel().getKey())};
     case WorkflowRequest::ANNOUNCE: {
       workflow::worker_heartbeat value;
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -49,7 +49,7 @@
 
 struct TenantTerms {
   name @0 :Text;
-  weight @1 :Float64;
+  weight @1 :Float64 = 1;
   cap @2 :Cell.Resources;
 }
 
@@ -172,12 +172,8 @@
 struct JobAddress {
   host @0 :Text;
   path @1 :Text;
-}
-
-struct JobQuery {
-  address @0 :JobAddress;
   # SHA-256 of the caller's key; empty if it sent none.
-  key @1 :Data;
+  key @2 :Data;
 }
 
 struct WorkflowRequest {
@@ -186,10 +182,9 @@
     submit :group {
       to @1 :JobAddress;
       spec @2 :JobSpec;
-      key @12 :Data;
     }
-    get @3 :JobQuery;
-    cancel @4 :JobQuery;
+    get @3 :JobAddress;
+    cancel @4 :JobAddress;
     announce :group {
       worker @5 :WorkerSpec;
       clockMs @6 :Int64;
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -39,7 +39,6 @@
 CAPNP_DECLARE_SCHEMA(968e339406cdbf6f);
 CAPNP_DECLARE_SCHEMA(e64e798365b18cb5);
 CAPNP_DECLARE_SCHEMA(83cb9fe53bda8710);
-CAPNP_DECLARE_SCHEMA(c02a88e91c4a08b9);
 CAPNP_DECLARE_SCHEMA(b586861e93a3549d);
 CAPNP_DECLARE_SCHEMA(81985cfc8bc880f7);
 CAPNP_DECLARE_SCHEMA(834f5815b8497272);
@@ -390,22 +389,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83cb9fe53bda8710, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct JobQuery {
-  JobQuery() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c02a88e91c4a08b9, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(83cb9fe53bda8710, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -433,7 +417,7 @@
   struct JoinMembers;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -448,7 +432,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -463,7 +447,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -478,7 +462,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3060,6 +3044,9 @@
   inline bool hasPath() const;
   inline  ::capnp::Text::Reader getPath() const;
 
+  inline bool hasKey() const;
+  inline  ::capnp::Data::Reader getKey() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3102,90 +3089,6 @@
   inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPath();
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class JobAddress::Pipeline {
-public:
-  typedef JobAddress Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class JobQuery::Reader {
-public:
-  typedef JobQuery Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAddress() const;
-  inline  ::mangoplank::wire::schema::JobAddress::Reader getAddress() const;
-
-  inline bool hasKey() const;
-  inline  ::capnp::Data::Reader getKey() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class JobQuery::Builder {
-public:
-  typedef JobQuery Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAddress();
-  inline  ::mangoplank::wire::schema::JobAddress::Builder getAddress();
-  inline void setAddress( ::mangoplank::wire::schema::JobAddress::Reader value);
-  inline  ::mangoplank::wire::schema::JobAddress::Builder initAddress();
-  inline void adoptAddress(::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> disownAddress();
-
   inline bool hasKey();
   inline  ::capnp::Data::Builder getKey();
   inline void setKey( ::capnp::Data::Reader value);
@@ -3203,15 +3106,14 @@
 };
 
 #if !CAPNP_LITE
-class JobQuery::Pipeline {
+class JobAddress::Pipeline {
 public:
-  typedef JobQuery Pipelines;
+  typedef JobAddress Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangoplank::wire::schema::JobAddress::Pipeline getAddress();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3245,11 +3147,11 @@
 
   inline bool isGet() const;
   inline bool hasGet() const;
-  inline  ::mangoplank::wire::schema::JobQuery::Reader getGet() const;
+  inline  ::mangoplank::wire::schema::JobAddress::Reader getGet() const;
 
   inline bool isCancel() const;
   inline bool hasCancel() const;
-  inline  ::mangoplank::wire::schema::JobQuery::Reader getCancel() const;
+  inline  ::mangoplank::wire::schema::JobAddress::Reader getCancel() const;
 
   inline bool isAnnounce() const;
   inline typename Announce::Reader getAnnounce() const;
@@ -3306,19 +3208,19 @@
 
   inline bool isGet();
   inline bool hasGet();
-  inline  ::mangoplank::wire::schema::JobQuery::Builder getGet();
-  inline void setGet( ::mangoplank::wire::schema::JobQuery::Reader value);
-  inline  ::mangoplank::wire::schema::JobQuery::Builder initGet();
-  inline void adoptGet(::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> disownGet();
+  inline  ::mangoplank::wire::schema::JobAddress::Builder getGet();
+  inline void setGet( ::mangoplank::wire::schema::JobAddress::Reader value);
+  inline  ::mangoplank::wire::schema::JobAddress::Builder initGet();
+  inline void adoptGet(::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> disownGet();
 
   inline bool isCancel();
   inline bool hasCancel();
-  inline  ::mangoplank::wire::schema::JobQuery::Builder getCancel();
-  inline void setCancel( ::mangoplank::wire::schema::JobQuery::Reader value);
-  inline  ::mangoplank::wire::schema::JobQuery::Builder initCancel();
-  inline void adoptCancel(::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value);
-  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> disownCancel();
+  inline  ::mangoplank::wire::schema::JobAddress::Builder getCancel();
+  inline void setCancel( ::mangoplank::wire::schema::JobAddress::Reader value);
+  inline  ::mangoplank::wire::schema::JobAddress::Builder initCancel();
+  inline void adoptCancel(::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value);
+  inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> disownCancel();
 
   inline bool isAnnounce();
   inline typename Announce::Builder getAnnounce();
@@ -3397,9 +3299,6 @@
   inline bool hasSpec() const;
   inline  ::mangoplank::wire::schema::JobSpec::Reader getSpec() const;
 
-  inline bool hasKey() const;
-  inline  ::capnp::Data::Reader getKey() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3442,13 +3341,6 @@
   inline void adoptSpec(::capnp::Orphan< ::mangoplank::wire::schema::JobSpec>&& value);
   inline ::capnp::Orphan< ::mangoplank::wire::schema::JobSpec> disownSpec();
 
-  inline bool hasKey();
-  inline  ::capnp::Data::Builder getKey();
-  inline void setKey( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownKey();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6087,16 +5979,16 @@
 
 inline double TenantTerms::Reader::getWeight() const {
   return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 4607182418800017408ull);
 }
 
 inline double TenantTerms::Builder::getWeight() {
   return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 4607182418800017408ull);
 }
 inline void TenantTerms::Builder::setWeight(double value) {
   _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, 4607182418800017408ull);
 }
 
 inline bool TenantTerms::Reader::hasCap() const {
@@ -8303,77 +8195,38 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool JobQuery::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool JobQuery::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::mangoplank::wire::schema::JobAddress::Reader JobQuery::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::mangoplank::wire::schema::JobAddress::Builder JobQuery::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::mangoplank::wire::schema::JobAddress::Pipeline JobQuery::Pipeline::getAddress() {
-  return  ::mangoplank::wire::schema::JobAddress::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void JobQuery::Builder::setAddress( ::mangoplank::wire::schema::JobAddress::Reader value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::mangoplank::wire::schema::JobAddress::Builder JobQuery::Builder::initAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void JobQuery::Builder::adoptAddress(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> JobQuery::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool JobQuery::Reader::hasKey() const {
+inline bool JobAddress::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobQuery::Builder::hasKey() {
+inline bool JobAddress::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader JobQuery::Reader::getKey() const {
+inline  ::capnp::Data::Reader JobAddress::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder JobQuery::Builder::getKey() {
+inline  ::capnp::Data::Builder JobAddress::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void JobQuery::Builder::setKey( ::capnp::Data::Reader value) {
+inline void JobAddress::Builder::setKey( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder JobQuery::Builder::initKey(unsigned int size) {
+inline  ::capnp::Data::Builder JobAddress::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void JobQuery::Builder::adoptKey(
+inline void JobAddress::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> JobQuery::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Data> JobAddress::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline  ::mangoplank::wire::schema::WorkflowRequest::Which WorkflowRequest::Reader::which() const {
@@ -8420,7 +8273,6 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::SUBMIT);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename WorkflowRequest::Submit::Builder(_builder);
 }
 inline bool WorkflowRequest::Reader::isGet() const {
@@ -8439,41 +8291,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobQuery::Reader WorkflowRequest::Reader::getGet() const {
+inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getGet() const {
   KJ_IREQUIRE((which() == WorkflowRequest::GET),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::getGet() {
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getGet() {
   KJ_IREQUIRE((which() == WorkflowRequest::GET),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setGet( ::mangoplank::wire::schema::JobQuery::Reader value) {
+inline void WorkflowRequest::Builder::setGet( ::mangoplank::wire::schema::JobAddress::Reader value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::initGet() {
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initGet() {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void WorkflowRequest::Builder::adoptGet(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value) {
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::GET);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> WorkflowRequest::Builder::disownGet() {
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownGet() {
   KJ_IREQUIRE((which() == WorkflowRequest::GET),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -8493,41 +8345,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mangoplank::wire::schema::JobQuery::Reader WorkflowRequest::Reader::getCancel() const {
+inline  ::mangoplank::wire::schema::JobAddress::Reader WorkflowRequest::Reader::getCancel() const {
   KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::getCancel() {
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::getCancel() {
   KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WorkflowRequest::Builder::setCancel( ::mangoplank::wire::schema::JobQuery::Reader value) {
+inline void WorkflowRequest::Builder::setCancel( ::mangoplank::wire::schema::JobAddress::Reader value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::mangoplank::wire::schema::JobQuery::Builder WorkflowRequest::Builder::initCancel() {
+inline  ::mangoplank::wire::schema::JobAddress::Builder WorkflowRequest::Builder::initCancel() {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void WorkflowRequest::Builder::adoptCancel(
-    ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery>&& value) {
+    ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress>&& value) {
   _builder.setDataField<WorkflowRequest::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, WorkflowRequest::CANCEL);
-  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mangoplank::wire::schema::JobQuery> WorkflowRequest::Builder::disownCancel() {
+inline ::capnp::Orphan< ::mangoplank::wire::schema::JobAddress> WorkflowRequest::Builder::disownCancel() {
   KJ_IREQUIRE((which() == WorkflowRequest::CANCEL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobQuery>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::mangoplank::wire::schema::JobAddress>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -8789,40 +8641,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WorkflowRequest::Submit::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool WorkflowRequest::Submit::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader WorkflowRequest::Submit::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder WorkflowRequest::Submit::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void WorkflowRequest::Submit::Builder::setKey( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder WorkflowRequest::Submit::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void WorkflowRequest::Submit::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> WorkflowRequest::Submit::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline bool WorkflowRequest::Announce::Reader::hasWorker() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
