Keep a removed tenant's last terms; count calls by tenant

Cause: jobs of a removed tenant went back to the cap with which they had been accepted. Two tenants that submit one id at the same time were both told that their job is accepted. The text of a refusal named a role, not a tenant. Change: a catalog replaces the terms in the records of jobs, and a job takes those in force when it is recorded; the submission checks whose job was recorded. DELETE without any catalog is answered like GET, as unavailable. The leader's log names the tenant of a job and the number of tenants of a catalog.

--- a/include/mangoplank/tenancy/tenant.h
+++ b/include/mangoplank/tenancy/tenant.h
@@ -24,6 +24,9 @@
 
 /// @return the digest of a key as the caller sends it.
 key_digest Digest(std::string_view key);
+/// @return the first 16 hexadecimal digits of the digest: enough to tell for
+/// which key a log line is, and useless as a key.
+std::string Abbreviate(const key_digest& digest);
 
 /// What a tenant may use. Jobs without a tenant have an empty name.
 struct terms {
--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -123,7 +123,7 @@
   /// The queue as declared when the job was accepted.
   workflow::queue queue;
   core::wall_time_ms accepted_at = 0;
-  /// The tenant as declared when the job was accepted.
+  /// The tenant as last declared: the terms of one that is removed stay valid.
   tenancy::terms tenant;
   /// Queued until a worker has confirmed the start of a task; an assigned run
   /// may wait for a worker that does not answer.
@@ -169,9 +169,8 @@
   /// @return the queue at the address of the job's queue as currently declared,
   /// or as it was when the job was accepted if none is declared there.
   const queue& QueueOf(const job& job) const;
-  /// @return the terms of the job's tenant as currently declared, or as they
-  /// were when the job was accepted if the tenant is no longer declared.
-  const tenancy::terms& TenantOf(const job& job) const;
+  /// @return the terms of the job's tenant as last declared.
+  static const tenancy::terms& TenantOf(const job& job) { return job.tenant; }
   /// @return whether callers of queues that are not anonymous need a key.
   bool HasTenants() const { return catalog_.tenants.has_value(); }
   const tenancy::directory& Tenants() const { return tenants_; }
@@ -226,6 +225,8 @@
   void TakeBackLosses(const worker_key& returned);
 
   void IndexCatalog();
+  /// Gives jobs the terms of their tenants in the catalog.
+  void UpdateTenants();
 
   catalog catalog_;
   /// Indexes of the catalog's queues, ordered by address; there may be hundreds
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "dispatch/newest_report.h"
+#include "mangoplank/tenancy/access_metrics.h"
 #include "mangoplank/wire/codec.h"
 #include "mangoplank/workflow/limits.h"
 
@@ -37,8 +38,11 @@
          caller.name == job.tenant.name;
 }
 
-/// The caller has a key, but of another tenant than the job's.
-core::failure OfAnotherTenant() { return core::forbidden{"another tenant"}; }
+/// What a caller addresses and on whose behalf, until the state changes.
+struct admission {
+  const workflow::queue& queue;
+  const tenancy::terms& tenant;
+};
 
 core::failure Invalid(std::string field, std::string reason) {
   return core::invalid_request{{{std::move(field), std::move(reason)}}};
@@ -98,6 +102,7 @@
         registry(registry),
         owner(owner),
         leadership_changed(executor, clock),
+        access(registry),
         members(settings.membership, node) {}
 
   awaitable<answer_body> Answer(workflow::submit_job request);
@@ -114,6 +119,9 @@
   awaitable<answer_body> RecordOne(workflow::event event);
   awaitable<outcome<void>> ConfirmLeadership();
   awaitable<void> MembershipLoop();
+  outcome<admission> Admit(const workflow::job_address& address,
+                           const std::optional<tenancy::key_digest>& key);
+  core::failure Forbid(const std::string& tenant);
   bool IsLeader() const { return active_dispatcher != nullptr; }
   const workflow::job* FindJob(const workflow::queue& queue,
                                const workflow::job_address& address) const;
@@ -133,6 +141,7 @@
   /// Set while this process is the leader.
   std::unique_ptr<dispatcher> active_dispatcher;
   core::event leadership_changed;
+  tenancy::access_metrics access;
   membership_manager members;
   /// By worker. The sequences of earlier terms stay valid.
   std::map<core::worker_id, newest_report> newest_reports;
@@ -177,6 +186,28 @@
   return queue != nullptr && FindJob(*queue, address) != nullptr;
 }
 
+/// @return the caller's queue and tenant in the newest catalog.
+outcome<admission> service::impl::Admit(
+    const workflow::job_address& address,
+    const std::optional<tenancy::key_digest>& key) {
+  const workflow::state& state = machine.State();
+  if (state.Catalog().version == 0) {
+    return core::failure(core::unavailable{"no catalog is declared yet"});
+  }
+  const workflow::queue* const queue = state.Route(address.host, address.path);
+  if (queue == nullptr) return QueueNotFound(address);
+  const tenancy::terms* const tenant = state.Authenticate(*queue, key);
+  if (tenant != nullptr) return admission{*queue, *tenant};
+  access.OnUnauthenticated(key.has_value());
+  return core::failure(core::unauthenticated{});
+}
+
+/// @return the answer to a caller of `tenant` for a job of another one.
+core::failure service::impl::Forbid(const std::string& tenant) {
+  access.OnForbidden(tenant);
+  return core::forbidden{tenant};
+}
+
 awaitable<answer_body> service::impl::Answer(workflow::submit_job request) {
   // What is applied is committed, so that this needs no confirmation. A key
   // does: it may have been removed by a catalog that is not applied here yet.
@@ -186,80 +217,78 @@
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
   const workflow::state& state = machine.State();
-  if (state.Catalog().version == 0) {
-    co_return core::failure(core::unavailable{"no catalog is declared yet"});
-  }
-  const workflow::queue* const queue =
-      state.Route(request.address.host, request.address.path);
-  if (queue == nullptr) co_return QueueNotFound(request.address);
-  const tenancy::terms* const tenant = state.Authenticate(*queue, request.key);
-  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
-  request.spec.id = request.address.path.substr(queue->path_prefix.size());
+  const auto admitted = Admit(request.address, request.key);
+  if (!admitted) co_return admitted.error();
+  // The catalog may change while the job is recorded.
+  const workflow::queue queue = admitted->queue;
+  const tenancy::terms tenant = admitted->tenant;
+  request.spec.id = request.address.path.substr(queue.path_prefix.size());
   if (auto invalid = FindInvalidField(request.spec)) {
     co_return std::move(*invalid);
   }
-  if (const workflow::job* const known = FindJob(*queue, request.address)) {
-    if (!MayAccess(*tenant, *known)) co_return OfAnotherTenant();
+  if (const workflow::job* const known = FindJob(queue, request.address)) {
+    if (!MayAccess(tenant, *known)) co_return Forbid(tenant.name);
     co_return workflow::accepted{};
   }
   if (state.FindJob(request.spec.id) != nullptr) {
     co_return Invalid("id", "is the id of a job of another queue");
   }
   const std::string id = request.spec.id;
-  if (active_dispatcher) active_dispatcher->Prepare(request.spec, *queue);
-  workflow::event event = workflow::job_accepted{
-      std::move(request.spec), *queue, clock.WallNow(), *tenant};
+  if (active_dispatcher) active_dispatcher->Prepare(request.spec, queue);
+  workflow::event event = workflow::job_accepted{std::move(request.spec), queue,
+                                                 clock.WallNow(), tenant};
   auto answer = co_await RecordOne(std::move(event));
   if (active_dispatcher && state.FindJob(id) == nullptr) {
     active_dispatcher->DiscardPrepared(id);
   }
-  spdlog::info("job_submitted job={} recorded={}", id,
-               std::holds_alternative<workflow::accepted>(answer));
+  const bool is_recorded = std::holds_alternative<workflow::accepted>(answer);
+  spdlog::info("job_submitted job={} tenant=\"{}\" recorded={}", id,
+               tenant.name, is_recorded);
+  // Another tenant's job of the same id may have been recorded before.
+  const workflow::job* const recorded = state.FindJob(id);
+  if (recorded != nullptr && !MayAccess(tenant, *recorded)) {
+    co_return Forbid(tenant.name);
+  }
+  if (is_recorded && !tenant.name.empty()) access.OnAccepted(tenant.name);
   co_return answer;
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::get_job request) {
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
-  if (machine.State().Catalog().version == 0) {
-    co_return core::failure(core::unavailable{"no catalog is declared yet"});
-  }
-  const workflow::queue* const queue =
-      machine.State().Route(request.address.host, request.address.path);
-  if (queue == nullptr) co_return QueueNotFound(request.address);
-  const tenancy::terms* const tenant =
-      machine.State().Authenticate(*queue, request.key);
-  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
-  if (request.address.path == queue->path_prefix) {
-    const workflow::queue_view view{machine.State().CountQueued(*queue)};
+  const auto admitted = Admit(request.address, request.key);
+  if (!admitted) co_return admitted.error();
+  const workflow::queue& queue = admitted->queue;
+  if (request.address.path == queue.path_prefix) {
+    const workflow::queue_view view{machine.State().CountQueued(queue)};
     const auto confirmed_before = clock.Now() - node.LeadershipConfirmedAt();
     spdlog::info(
         "queue_counted queue={} catalog={} pending={} only_assigned={} "
         "applied={} leader_confirmed_ms={}",
-        queue->name, machine.State().Catalog().version, view.queued,
-        machine.State().CountOnlyAssigned(*queue), node.Status().applied,
+        queue.name, machine.State().Catalog().version, view.queued,
+        machine.State().CountOnlyAssigned(queue), node.Status().applied,
         std::chrono::duration_cast<core::milliseconds>(confirmed_before)
             .count());
     co_return view;
   }
-  const workflow::job* const job = FindJob(*queue, request.address);
+  const workflow::job* const job = FindJob(queue, request.address);
   if (job == nullptr) co_return workflow::job_not_found{};
-  if (!MayAccess(*tenant, *job)) co_return OfAnotherTenant();
+  if (!MayAccess(admitted->tenant, *job)) {
+    co_return Forbid(admitted->tenant.name);
+  }
   co_return workflow::job_view{job->phase, job->failure};
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::cancel_job request) {
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
-  const workflow::queue* const queue =
-      machine.State().Route(request.address.host, request.address.path);
-  if (queue == nullptr) co_return QueueNotFound(request.address);
-  const tenancy::terms* const tenant =
-      machine.State().Authenticate(*queue, request.key);
-  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
-  const workflow::job* const job = FindJob(*queue, request.address);
+  const auto admitted = Admit(request.address, request.key);
+  if (!admitted) co_return admitted.error();
+  const workflow::job* const job = FindJob(admitted->queue, request.address);
   if (job == nullptr) co_return workflow::job_not_found{};
-  if (!MayAccess(*tenant, *job)) co_return OfAnotherTenant();
+  if (!MayAccess(admitted->tenant, *job)) {
+    co_return Forbid(admitted->tenant.name);
+  }
   if (IsFinal(job->phase)) co_return workflow::accepted{};
   const std::string id = job->spec.id;
   workflow::event event = workflow::job_cancelled{id};
@@ -404,6 +433,8 @@
 awaitable<answer_body> service::impl::Answer(
     workflow::declare_catalog request) {
   const std::uint64_t version = request.catalog.version;
+  const std::size_t tenants =
+      request.catalog.tenants ? request.catalog.tenants->size() : 0;
   if (version <= machine.State().Catalog().version) {
     // Only a process with confirmed leadership acknowledges the request.
     const auto barrier =
@@ -414,8 +445,8 @@
   workflow::event event =
       workflow::catalog_declared{std::move(request.catalog)};
   auto answer = co_await RecordOne(std::move(event));
-  spdlog::info("catalog_declared version={} recorded={}", version,
-               std::holds_alternative<workflow::accepted>(answer));
+  spdlog::info("catalog_declared version={} tenants={} recorded={}", version,
+               tenants, std::holds_alternative<workflow::accepted>(answer));
   co_return answer;
 }
 
--- a/src/tenancy/directory.cpp
+++ b/src/tenancy/directory.cpp
@@ -1,5 +1,6 @@
 #include "mangoplank/tenancy/directory.h"
 
+#include <fmt/format.h>
 #include <openssl/sha.h>
 
 #include <algorithm>
@@ -14,6 +15,12 @@
   return digest;
 }
 
+std::string Abbreviate(const key_digest& digest) {
+  constexpr std::size_t kBytes = 8;
+  return fmt::format("{:02x}", fmt::join(digest.bytes.begin(),
+                                         digest.bytes.begin() + kBytes, ""));
+}
+
 directory::directory(const std::vector<tenant>& tenants) {
   std::vector<const tenant*> ordered;
   for (const tenant& tenant : tenants) ordered.push_back(&tenant);
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -124,6 +124,15 @@
   if (event.catalog.version <= catalog_.version) return;
   catalog_ = event.catalog;
   IndexCatalog();
+  UpdateTenants();
+}
+
+void state::UpdateTenants() {
+  if (tenants_.Tenants().empty()) return;
+  for (auto& [id, job] : jobs_) {
+    const tenancy::terms* const declared = tenants_.FindByName(job.tenant.name);
+    if (declared != nullptr) job.tenant = *declared;
+  }
 }
 
 void state::IndexCatalog() {
@@ -146,7 +155,9 @@
   job.spec = event.spec;
   job.queue = event.queue;
   job.accepted_at = event.accepted_at;
-  job.tenant = event.tenant;
+  // A catalog may have been recorded since the caller was authenticated.
+  const tenancy::terms* const declared = tenants_.FindByName(event.tenant.name);
+  job.tenant = declared == nullptr ? event.tenant : *declared;
   job.tasks.resize(std::size_t{job.CountOccurrences()} *
                    CountTasksPerOccurrence(job.spec));
   for (std::uint32_t occurrence = 0; occurrence < job.CountOccurrences();
@@ -347,11 +358,6 @@
   return HaveSameAddress(found, job.queue) ? found : job.queue;
 }
 
-const tenancy::terms& state::TenantOf(const job& job) const {
-  const tenancy::terms* const declared = tenants_.FindByName(job.tenant.name);
-  return declared == nullptr ? job.tenant : *declared;
-}
-
 const tenancy::terms* state::Authenticate(
     const queue& queue, const std::optional<tenancy::key_digest>& key) const {
   static const tenancy::terms kNoTenant;
