--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -17,6 +17,8 @@
 # Counters that are made at the first event of a kind that this script can't
 # bring about within its time. Their meaning is taken from the sources.
 RARE='call_faults_total call_worker_refusals_total wire_slow_peers_total'
+# Counters of controllers, which this cell does not run.
+BY_TENANT='tenant_forbidden_total tenant_jobs_accepted_total tenant_unauthenticated_total'
 
 write_configuration() {
   echo '# Settings'
@@ -85,8 +87,14 @@
   heading mangoplank-entry
   metrics_of_entry | table | not_rare
   heading 'Exposed only after a rare event'
+  counters_from_sources $RARE
+  heading 'mangoplank-controller, by tenant'
+  counters_from_sources $BY_TENANT
+}
+
+counters_from_sources() {
   local name
-  for name in $RARE; do
+  for name in "$@"; do
     printf '| `mangoplank_%s` | counter | %s |\n' "$name" "$(rare_help "$name")"
   done
 }
