Caps: a ledger of what tenants may have running, and starts within it

Cause: nothing bounded what a tenant had running: a cap was read, kept in the job's record, and obeyed nowhere. Change: tenancy::usage_ledger sums the declared needs of the runs of each tenant. placement_table owns it together with the table of placed runs, so that a run counts from its plan until its end is recorded. A round starts what fits under the cap of the newest catalog: single tasks one by one, a gang as a whole. What the cap keeps back reserves nothing, marks no need as unplaceable and starts no eligibility check; pending checks count against the rest of the cap within a round. A run whose order isn't sent yet is held back if the cap was lowered meanwhile. Prepare takes the tenant; the calls in eligibility_checks_test.cpp pass none.

--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -43,7 +43,9 @@
 
   /// Checks eligibility for the first steps of a job that is being recorded, so
   /// that the result is available when the job can start.
-  void Prepare(const workflow::job_spec& spec, const workflow::queue& queue);
+  /// Checks nothing beyond the tenant's cap.
+  void Prepare(const workflow::job_spec& spec, const workflow::queue& queue,
+               const tenancy::terms& tenant);
   /// Discards the results of Prepare for a job that was not recorded.
   void DiscardPrepared(const std::string& job);
   /// Called for each applied event.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -110,7 +110,7 @@
                     .loss = has_ended ? std::optional(loss) : std::nullopt,
                     .priority = event_log.State().QueueOf(job).priority,
                     .resumable = step.checkpointing});
-          run_monitors[run] = monitor->second;
+          placements.Place(run, {monitor->second, UsageOf(run)});
           if (IsFinal(job.phase)) Spawn(StopRun(monitor->second, run));
         }
       }
@@ -155,7 +155,7 @@
   monitor->removed = true;
   monitor->wakeup.NotifyAll();
   for (const auto& [run, ended] : monitor->runs.Runs()) {
-    run_monitors.erase(run);
+    placements.Remove(run);
     MarkWaiting(run.task.job);
   }
   DropEligibility(monitor->slot);
@@ -188,7 +188,7 @@
   transferred.stopping = false;
   transferred.started_at.reset();
   tracked_run& tracked = monitor->runs.Add(run, std::move(transferred));
-  run_monitors[run] = monitor;
+  placements.Place(run, {monitor, UsageOf(run)});
   if (previous.resolved_after_poll && !previous.stopping &&
       !previous.may_arrive) {
     tracked.resolved_after_poll = 0;
@@ -199,6 +199,14 @@
   Spawn(StopRun(monitor, run));
 }
 
+/// @return what a run uses of its tenant's cap: all that its step declares,
+/// also the processors of a task that fills, which its worker doesn't count.
+tenancy::usage dispatcher::impl::UsageOf(const workflow::run_id& run) const {
+  const workflow::job* const job = event_log.State().FindJob(run.task.job);
+  if (job == nullptr || run.task.step >= job->spec.steps.size()) return {};
+  return {job->tenant.name, job->spec.steps[run.task.step].need};
+}
+
 /// @param leased_at time of the last order with a lease to an earlier
 /// incarnation. It may still reach this one, which then grants its longest
 /// lease at that moment, as the order's lease is a time on the earlier clock.
@@ -292,13 +300,13 @@
   const std::uint32_t first = step.gang ? 0 : run.task.index;
   const std::uint32_t last = step.gang ? step.count - 1 : run.task.index;
   for (run.task.index = first; run.task.index <= last; ++run.task.index) {
-    const auto it = run_monitors.find(run);
-    if (it == run_monitors.end() || event_log.State().IsAssigned(run)) continue;
+    const auto monitor = placements.FindWorker(run);
+    if (monitor == nullptr || event_log.State().IsAssigned(run)) continue;
     stats.EndedRuns(event.ending).Add();
-    UpdateStatistics(*it->second, run, event.ending);
-    it->second->runs.Remove(run);
-    if (it->second->deregistered_at) it->second->wakeup.NotifyAll();
-    run_monitors.erase(it);
+    UpdateStatistics(*monitor, run, event.ending);
+    monitor->runs.Remove(run);
+    if (monitor->deregistered_at) monitor->wakeup.NotifyAll();
+    placements.Remove(run);
   }
   // If a member that has started ends, the workers end the rest of the gang.
   if (step.gang && !workflow::HadStarted(event.ending)) {
@@ -336,8 +344,8 @@
                                 std::uint32_t count) {
   workflow::run_id run = member;
   for (run.task.index = 0; run.task.index < count; ++run.task.index) {
-    const auto it = run_monitors.find(run);
-    if (it != run_monitors.end()) Spawn(StopRun(it->second, run));
+    const auto monitor = placements.FindWorker(run);
+    if (monitor != nullptr) Spawn(StopRun(monitor, run));
   }
 }
 
@@ -358,9 +366,10 @@
   // A stop that is answered at once removes its run.
   std::vector<std::pair<workflow::run_id, std::shared_ptr<worker_monitor>>>
       runs;
-  for (auto it = run_monitors.lower_bound({{job.spec.id, 0, 0, 0}, 0});
-       it != run_monitors.end() && it->first.task.job == job.spec.id; ++it) {
-    runs.emplace_back(*it);
+  const placement_table::map& placed = placements.Runs();
+  for (auto it = placed.lower_bound({{job.spec.id, 0, 0, 0}, 0});
+       it != placed.end() && it->first.task.job == job.spec.id; ++it) {
+    runs.emplace_back(it->first, it->second.monitor);
   }
   for (const auto& [run, monitor] : runs) Spawn(StopRun(monitor, run));
 }
@@ -507,8 +516,9 @@
 void dispatcher::Start() { impl_->Start(); }
 void dispatcher::Stop() { impl_->Stop(); }
 void dispatcher::Prepare(const workflow::job_spec& spec,
-                         const workflow::queue& queue) {
-  impl_->Prepare(spec, queue);
+                         const workflow::queue& queue,
+                         const tenancy::terms& tenant) {
+  impl_->Prepare(spec, queue, tenant);
 }
 void dispatcher::DiscardPrepared(const std::string& job) {
   impl_->DropEligibility(job);
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -12,6 +12,7 @@
 #include "dispatch/load_report.h"
 #include "dispatch/order_backoff.h"
 #include "dispatch/order_tries.h"
+#include "dispatch/placement_table.h"
 #include "dispatch/planning_types.h"
 #include "dispatch/proxy_budget.h"
 #include "dispatch/step_times.h"
@@ -168,6 +169,7 @@
   void AdoptRuns();
   void TransferRun(const core::worker_id& id, const workflow::run_id& run,
                    const tracked_run& previous);
+  tenancy::usage UsageOf(const workflow::run_id& run) const;
   void AddWorker(const workflow::worker& worker, core::time_point leased_at);
   void TrackJob(const workflow::job& job);
   void LogAttempts(const workflow::job& job, const workflow::run_id& run) const;
@@ -289,6 +291,13 @@
                     const worker_monitor& monitor) const;
 
   // step_planner.cpp: assignment of the waiting tasks of one step.
+  bool IsWithinCap(const workflow::job& job) const;
+  std::size_t CountStartable(const tenancy::terms& tenant,
+                             const workflow::step& step,
+                             std::size_t tasks) const;
+  std::size_t CountCheckable(const tenancy::terms& tenant,
+                             const workflow::step& step,
+                             std::size_t tasks) const;
   void PlanStep(const workflow::job& job, objective_status objective,
                 const workflow::queue& queue, waiting_tasks& waiting);
   void PlanTasks(const workflow::job& job, const workflow::queue& queue,
@@ -321,7 +330,8 @@
   bool IsStartingSuspect(worker_monitor& monitor) const;
 
   // eligibility_checks.cpp: calls to the eligibility service.
-  void Prepare(const workflow::job_spec& spec, const workflow::queue& queue);
+  void Prepare(const workflow::job_spec& spec, const workflow::queue& queue,
+               const tenancy::terms& tenant);
   void DropEligibility(const std::string& job);
   void DropEligibility(worker_slot slot);
   bool IsValid(const ticket& ticket) const;
@@ -380,8 +390,12 @@
   bool stopped = false;
 
   std::map<core::worker_id, std::shared_ptr<worker_monitor>> monitors;
-  /// The worker of each tracked run.
-  std::map<workflow::run_id, std::shared_ptr<worker_monitor>> run_monitors;
+  /// All tracked runs.
+  placement_table placements;
+  /// What the steps with a pending eligibility check of the current round will
+  /// use. Other steps of their tenants must not have checks for the same rest
+  /// of a cap.
+  tenancy::usage_ledger checked_usage;
   /// Jobs of which a worker has confirmed a start that is not recorded yet.
   std::set<std::string> started_jobs;
   /// Jobs that are not final.
--- a/src/dispatch/eligibility_checks.cpp
+++ b/src/dispatch/eligibility_checks.cpp
@@ -124,7 +124,8 @@
 
 /// Checks eligibility for the first steps of a job that is being recorded.
 void dispatcher::impl::Prepare(const workflow::job_spec& spec,
-                               const workflow::queue& queue) {
+                               const workflow::queue& queue,
+                               const tenancy::terms& tenant) {
   ++load.submissions;
   if (!queue.eligibility || spec.repeat_count > 0) return;
   const auto pool = usable_pools.find(queue.pool);
@@ -133,7 +134,9 @@
     const workflow::step& step = spec.steps[i];
     if (!step.depends_on.empty()) continue;
     waiting_tasks waiting;
-    waiting.indexes.resize(step.count);
+    waiting.checkable = CountCheckable(tenant, step, step.count);
+    if (waiting.checkable < (step.gang ? step.count : 1)) continue;
+    waiting.indexes.resize(waiting.checkable);
     std::iota(waiting.indexes.begin(), waiting.indexes.end(), 0U);
     const step_key key{spec.id, 0, i};
     eligibility_view& view = eligibility_by_step[key];
@@ -142,7 +145,9 @@
     } else {
       CheckTasks(queue, key, step, waiting, view, pool->second);
     }
-    ReserveForCheck(step, view, step.count, pool->second);
+    ReserveForCheck(step, view, waiting.checkable, pool->second);
+    checked_usage.Add({tenant.name, step.need * static_cast<std::int64_t>(
+                                                    waiting.checkable)});
   }
 }
 
@@ -231,7 +236,9 @@
                                   const waiting_tasks& waiting,
                                   eligibility_view& view, usable_pool& pool) {
   if (view.pending_calls > 0 || clock.Now() < view.retry_after) return;
-  const auto tasks = static_cast<double>(waiting.indexes.size());
+  const auto tasks =
+      static_cast<double>(std::min(waiting.indexes.size(), waiting.checkable));
+  if (tasks == 0) return;
   const check_candidates candidates =
       FindCandidates(queue, step, waiting, view, pool, tasks * kTaskMargin);
   StartCheck(queue, key, candidates,
@@ -248,6 +255,7 @@
                                  eligibility_view& view, usable_pool& pool) {
   if (view.pending_calls > 0 || clock.Now() < view.retry_after) return;
   const std::size_t tasks = waiting.indexes.size();
+  if (waiting.checkable < tasks) return;
   const auto needed = static_cast<double>(tasks);
   const check_candidates candidates =
       FindCandidates(queue, step, waiting, view, pool, needed * kGangMargin);
--- a/src/dispatch/eligibility_checks_test.cpp
+++ b/src/dispatch/eligibility_checks_test.cpp
@@ -65,7 +65,7 @@
   workflow::job_spec spec;
   spec.id = "j";
   spec.steps = {Step(2, 1'000)};
-  dispatcher_->Prepare(spec, queue_);
+  dispatcher_->Prepare(spec, queue_, {});
   RunFor(milliseconds(50));
   EXPECT_EQ(eligibility_.checks.size(), 1u);
   Submit("j", spec.steps, queue_);
@@ -73,7 +73,7 @@
   EXPECT_EQ(workers_.starts.size(), 2u);
   EXPECT_EQ(eligibility_.checks.size(), 1u);
   spec.id = "k";
-  dispatcher_->Prepare(spec, queue_);
+  dispatcher_->Prepare(spec, queue_, {});
   RunFor(milliseconds(50));
   dispatcher_->DiscardPrepared("k");
   Submit("k", spec.steps, queue_);
@@ -139,7 +139,7 @@
   spec.id = "gang";
   spec.steps = {Step(2, 8'000)};
   spec.steps[0].gang = true;
-  dispatcher_->Prepare(spec, queue_);
+  dispatcher_->Prepare(spec, queue_, {});
   RunFor(milliseconds(400));
   workflow::step filling = Step(12, 8'000);
   filling.required_label = "x";
--- a/src/dispatch/load_fixture.cpp
+++ b/src/dispatch/load_fixture.cpp
@@ -96,7 +96,7 @@
   plans.emplace(spec.id, std::move(plan));
   const workflow::queue& queue = settings.profiles[profile_index].queue;
   co_await core::SleepFor(clock, settings.network_delay);
-  active->Prepare(spec, queue);
+  active->Prepare(spec, queue, {});
   std::vector<workflow::event> events;
   events.emplace_back(workflow::job_accepted{spec, queue, clock.WallNow()});
   co_await event_log.Record(std::move(events));
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -216,6 +216,7 @@
     pool.has_reservation = false;
   }
   usable_by_slot.assign(monitors.size() + free_slots.size(), nullptr);
+  checked_usage = {};
   round_begin = clock.Now();
   proxies.Reset(eligibility_service.CountProxies());
   const core::time_point now = round_begin;
@@ -305,11 +306,11 @@
     const workflow::task& task = job.tasks[*job.FindTaskIndex(id)];
     waiting.last_run = std::max(waiting.last_run, task.last_run);
     // A run whose assignment is still being recorded already has a worker.
-    const auto placed_run = run_monitors.lower_bound({id, 0});
+    const auto placed_run = placements.Runs().lower_bound({id, 0});
     const bool is_placed =
-        placed_run != run_monitors.end() && placed_run->first.task == id;
+        placed_run != placements.Runs().end() && placed_run->first.task == id;
     if (is_placed && step_spec.max_per_worker > 0) {
-      ++waiting.placed_per_worker[placed_run->second->worker.key.id];
+      ++waiting.placed_per_worker[placed_run->second.monitor->worker.key.id];
     }
     if (task.phase == workflow::task_phase::kWaiting && !is_placed) {
       waiting.indexes.push_back(id.index);
@@ -367,7 +368,7 @@
 /// Gives up the plan for a run that was not assigned.
 void dispatcher::impl::DropPlanned(const planned_run& planned) {
   planned.monitor->runs.Remove(planned.run);
-  run_monitors.erase(planned.run);
+  placements.Remove(planned.run);
   MarkWaiting(planned.run.task.job);
 }
 
--- a/src/dispatch/planning_types.h
+++ b/src/dispatch/planning_types.h
@@ -143,6 +143,10 @@
   std::vector<std::uint32_t> indexes;
   /// Those of the tasks that may have crashed the worker of their last run.
   std::set<std::uint32_t> suspects;
+  /// The tenant's cap keeps some of the tasks back in this round.
+  bool is_capped = false;
+  /// How many of the tasks a new eligibility check may be for.
+  std::size_t checkable = 0;
   /// Highest run number of any task of the step.
   std::uint32_t last_run = 0;
   /// Only if the step limits its tasks on one worker.
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -31,6 +31,14 @@
     co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
     co_return;
   }
+  // The cap may have been lowered since that round. A later one plans the task
+  // again once the tenant's other runs leave room for it.
+  if (!IsWithinCap(*job)) {
+    spdlog::info("run_held_by_cap run={} tenant={}", Name(planned.run),
+                 job->tenant.name);
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
   monitor->runs.SetOrdered(*tracked);
   start_order order{monitor->token,
                     planned.run,
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -206,7 +206,8 @@
     co_return Invalid("id", "is the id of a job of another queue");
   }
   const std::string id = request.spec.id;
-  if (active_dispatcher) active_dispatcher->Prepare(request.spec, *queue);
+  if (active_dispatcher)
+    active_dispatcher->Prepare(request.spec, *queue, *tenant);
   workflow::event event = workflow::job_accepted{
       std::move(request.spec), *queue, clock.WallNow(), *tenant};
   auto answer = co_await RecordOne(std::move(event));
--- a/src/dispatch/step_planner.cpp
+++ b/src/dispatch/step_planner.cpp
@@ -37,7 +37,35 @@
 
 }  // namespace
 
+/// @return whether the job's tenant is within its cap with all that it may have
+/// running, planned runs included.
+bool dispatcher::impl::IsWithinCap(const workflow::job& job) const {
+  const tenancy::terms& tenant = event_log.State().TenantOf(job);
+  return tenancy::IsWithinCap(tenant, placements.Usage().UsageOf(tenant.name));
+}
+
+/// @return how many of the tasks may start beside all that the tenant may have
+/// running.
+std::size_t dispatcher::impl::CountStartable(const tenancy::terms& tenant,
+                                             const workflow::step& step,
+                                             std::size_t tasks) const {
+  const core::resources used = placements.Usage().UsageOf(tenant.name);
+  return tenancy::CountWithinCap(tenant, used, step.need, tasks);
+}
+
+/// @return how many of the tasks a new eligibility check may be for: those that
+/// may start beside what earlier checks of the tenant are for.
+std::size_t dispatcher::impl::CountCheckable(const tenancy::terms& tenant,
+                                             const workflow::step& step,
+                                             std::size_t tasks) const {
+  const core::resources used = placements.Usage().UsageOf(tenant.name) +
+                               checked_usage.UsageOf(tenant.name);
+  return tenancy::CountWithinCap(tenant, used, step.need, tasks);
+}
+
 /// Assigns the waiting tasks that can start, and removes them from `waiting`.
+/// Those that the tenant's cap keeps back ask for nothing in this round:
+/// neither for capacity nor for eligibility checks.
 void dispatcher::impl::PlanStep(const workflow::job& job,
                                 objective_status objective,
                                 const workflow::queue& queue,
@@ -46,15 +74,33 @@
   const auto pool = usable_pools.find(queue.pool);
   if (pool == usable_pools.end()) return;
   if (!step.gang && IsUnplaceable(pool->second, NeedOf(step))) return;
+  const tenancy::terms& tenant = event_log.State().TenantOf(job);
+  const std::size_t startable =
+      CountStartable(tenant, step, waiting.indexes.size());
+  waiting.is_capped = startable < waiting.indexes.size();
+  if (startable == 0 || (step.gang && waiting.is_capped)) return;
+  waiting.checkable = CountCheckable(tenant, step, startable);
   eligibility_view* const view =
       queue.eligibility ? &eligibility_by_step[{job.spec.id, waiting.occurrence,
                                                 waiting.step}]
                         : nullptr;
-  if (!step.gang) return PlanTasks(job, queue, waiting, view);
-  // Otherwise some members of the gang's last run have not ended yet.
-  if (waiting.indexes.size() == step.count) {
+  if (!step.gang) {
+    const auto first_capped =
+        waiting.indexes.begin() + static_cast<std::ptrdiff_t>(startable);
+    const std::vector<std::uint32_t> capped(first_capped,
+                                            waiting.indexes.end());
+    waiting.indexes.resize(startable);
+    PlanTasks(job, queue, waiting, view);
+    waiting.indexes.insert(waiting.indexes.end(), capped.begin(), capped.end());
+  } else if (waiting.indexes.size() == step.count) {
+    // Otherwise some members of the gang's last run have not ended yet.
     PlanGang(job, objective, queue, waiting, view);
   }
+  if (view == nullptr || view->pending_calls == 0) return;
+  const std::size_t checked =
+      std::min(waiting.checkable, waiting.indexes.size());
+  checked_usage.Add(
+      {tenant.name, step.need * static_cast<std::int64_t>(checked)});
 }
 
 /// Reserves the resources of a run on its worker.
@@ -70,7 +116,7 @@
                           .tracked_since = clock.Now(),
                           .priority = queue.priority,
                           .resumable = step.checkpointing});
-  run_monitors[run] = monitor;
+  placements.Place(run, {monitor, {job.tenant.name, step.need}});
   timeline.NoteAssigned({task.job, task.occurrence, task.step}, round_begin);
   return {monitor, run, option.ticket == nullptr ? "" : option.ticket->text};
 }
--- a/src/dispatch/wait_report.cpp
+++ b/src/dispatch/wait_report.cpp
@@ -42,12 +42,13 @@
                                              const waiting_tasks& tasks) const {
   std::size_t held = 0;
   const workflow::task_id first{job.spec.id, tasks.occurrence, tasks.step, 0};
-  for (auto it = run_monitors.lower_bound({first, 0});
-       it != run_monitors.end() && it->first.task.job == first.job &&
+  const placement_table::map& placed = placements.Runs();
+  for (auto it = placed.lower_bound({first, 0});
+       it != placed.end() && it->first.task.job == first.job &&
        it->first.task.occurrence == first.occurrence &&
        it->first.task.step == first.step;
        ++it) {
-    held += it->second->unanswered ? 1 : 0;
+    held += it->second.monitor->unanswered ? 1 : 0;
   }
   return held;
 }
--- a/src/dispatch/worker_loss.cpp
+++ b/src/dispatch/worker_loss.cpp
@@ -134,7 +134,7 @@
   }
   for (const workflow::run_id& run : unrecorded) {
     monitor->runs.Remove(run);
-    run_monitors.erase(run);
+    placements.Remove(run);
     MarkWaiting(run.task.job);
   }
   if (events.empty()) co_return;
--- a/src/dispatch/worker_monitor.cpp
+++ b/src/dispatch/worker_monitor.cpp
@@ -382,13 +382,13 @@
     tracked_run* const tracked = monitor->runs.Find(run.run);
     if (tracked == nullptr) {
       // The start was carried out late, after the run was ended.
-      if (overtaken || run_monitors.contains(run.run)) continue;
+      if (overtaken || placements.Contains(run.run)) continue;
       spdlog::warn("run_unexpected run={} worker={}", Name(run.run),
                    monitor->worker.key.id.v);
       monitor->runs.Add(run.run, {.need = NeedOfRun(event_log.State(), run.run),
                                   .ordered = true,
                                   .resolved_after_poll = monitor->polls_sent});
-      run_monitors[run.run] = monitor;
+      placements.Place(run.run, {monitor, UsageOf(run.run)});
       NoteStarted(run.run.task.job);
       // The task must not start elsewhere while this run is active.
       MarkWaiting(run.run.task.job);
@@ -420,7 +420,7 @@
             report.running.begin(), report.running.end(),
             [&](const running_run& listed) { return listed.run == run; });
         if (is_listed) return false;
-        run_monitors.erase(run);
+        placements.Remove(run);
         MarkWaiting(run.task.job);
         return true;
       });
