--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -138,17 +138,18 @@
   co_return tried;
 }
 
-/// @return whether a start without an answer may be sent again: the capacity
-/// may have shrunk, or the run may have been stopped since.
+/// @return whether a start without an answer may be sent again: the capacity or
+/// the tenant's cap may have shrunk, or the run may have been stopped since.
 bool dispatcher::impl::MayRepeatStart(const worker_monitor& monitor,
                                       const workflow::run_id& run) {
   if (stopped || monitor.removed || monitor.worker.draining ||
       monitor.deregistered_at) {
     return false;
   }
+  const workflow::job* const job = event_log.State().FindJob(run.task.job);
   const auto tracked = monitor.runs.Runs().find(run);
   return tracked != monitor.runs.Runs().end() && !tracked->second.stopping &&
-         IsAssignedTo(run, monitor) &&
+         IsAssignedTo(run, monitor) && job != nullptr && IsWithinCap(*job) &&
          monitor.worker.capacity.Holds(monitor.runs.Ordered());
 }
 
