Learn expected run times from finished steps

The leader expected the geometric mean of the caller's estimate and the mean run time of the queue, whatever the estimates of the queue were worth, and counted runs that had resumed, or had waited for other members of a gang, as whole ones.

The dispatcher passes it the whole runs of each step that has succeeded, and sets aside the slowest workers for a time, at most a fifth. Both can be switched off.

--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -22,6 +22,12 @@
   core::milliseconds ended_job_retention{125'000};
   /// Number of workers from which other control processes relay orders.
   std::size_t min_relayed_workers = 200;
+  /// Expected run times are learned from finished runs; else the callers'
+  /// estimates hold.
+  bool learn_run_times = true;
+  /// Workers on which tasks take longer than elsewhere get no new ones for a
+  /// time.
+  bool avoid_slow_workers = true;
 
   friend bool operator==(const dispatcher_settings&,
                          const dispatcher_settings&) = default;
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -36,6 +36,19 @@
         eligibility_checks(
             registry.Counter("mangoplank_workflow_inquiries_total",
                              "Calls to the eligibility service")),
+        steps_learned(
+            registry.Counter("mangoplank_workflow_steps_learned_total",
+                             "Steps whose run time was learned")),
+        forecast_error(registry.Gauge(
+            "mangoplank_workflow_run_time_error",
+            "Mean absolute error of expected run times, as a logarithm",
+            {{"of", "forecast"}})),
+        declared_error(registry.Gauge(
+            "mangoplank_workflow_run_time_error",
+            "Mean absolute error of expected run times, as a logarithm",
+            {{"of", "declared"}})),
+        slow_workers(registry.Gauge("mangoplank_workflow_slow_workers",
+                                    "Workers set aside as slow")),
         active_jobs(registry.Gauge("mangoplank_workflow_active_jobs",
                                    "Accepted jobs that are not final")),
         first_start(
@@ -68,6 +81,10 @@
   metrics::counter& leases_ended;
   metrics::counter& preempted;
   metrics::counter& eligibility_checks;
+  metrics::counter& steps_learned;
+  metrics::gauge& forecast_error;
+  metrics::gauge& declared_error;
+  metrics::gauge& slow_workers;
   metrics::gauge& active_jobs;
   metrics::histogram& first_start;
   metrics::histogram& round_time;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -187,6 +187,7 @@
   tracked_run transferred = previous;
   transferred.stopping = false;
   transferred.started_at.reset();
+  transferred.is_whole = false;
   tracked_run& tracked = monitor->runs.Add(run, std::move(transferred));
   run_monitors[run] = monitor;
   if (previous.resolved_after_poll && !previous.stopping &&
@@ -300,20 +301,21 @@
     if (it->second->deregistered_at) it->second->wakeup.NotifyAll();
     run_monitors.erase(it);
   }
+  if (is_step_done) LearnStep(*job, {task.job, task.occurrence, task.step});
   // If a member that has started ends, the workers end the rest of the gang.
   if (step.gang && !workflow::HadStarted(event.ending)) {
     StopGang(event.run, step.count);
   }
 }
 
-/// Updates the mean run time and the workers to avoid, and quarantines a worker
+/// Notes the run time and the workers to avoid, and quarantines a worker
 /// that keeps failing.
 void dispatcher::impl::UpdateStatistics(worker_monitor& monitor,
                                         const workflow::run_id& run,
                                         workflow::run_end ending) {
   if (ending == workflow::run_end::kDone) {
     const tracked_run* const tracked = monitor.runs.Find(run);
-    if (tracked != nullptr) UpdateMeanRunTime(run, *tracked);
+    if (tracked != nullptr) NoteRunTime(monitor, run, *tracked);
     monitor.failed_jobs.clear();
   }
   const workflow::task_id& task = run.task;
@@ -350,6 +352,7 @@
                           job.spec.id);
   DropEligibility(job.spec.id);
   timeline.Drop(job.spec.id);
+  finished_runs.Drop(job.spec.id);
   const auto is_of_job = [&](const auto& entry) {
     return entry.first.job == job.spec.id;
   };
@@ -457,12 +460,14 @@
     load.max_loop_delay = std::max(load.max_loop_delay, now - due);
     stats.loop_delay.Add(std::chrono::duration<double>(now - due).count());
     if (now < begin + kReportInterval) continue;
+    ReviewPaces();
     LogLoad(load, LoadState(), now - begin);
     load = {};
     begin = now;
     if (now < waits_due) continue;
     LogUnansweringWorkers();
     LogWaitingJobs();
+    ReportRunTimes();
     waits_due = now + kWaitReportInterval;
   }
 }
--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -14,8 +14,11 @@
 #include "dispatch/order_tries.h"
 #include "dispatch/planning_types.h"
 #include "dispatch/proxy_budget.h"
+#include "dispatch/step_runs.h"
 #include "dispatch/step_times.h"
 #include "mangoplank/dispatch/dispatcher.h"
+#include "mangoplank/durations/accuracy.h"
+#include "mangoplank/durations/estimator.h"
 
 namespace mangoplank::dispatch {
 
@@ -119,6 +122,8 @@
   core::time_point avoid_until{};
   /// The same after orders that failed, unless that leaves too few workers.
   order_backoff backoff;
+  /// The worker gets no new tasks, as it is slower than others of its pool.
+  bool is_slow = false;
   /// Jobs whose runs have failed on the worker since a run last succeeded.
   std::set<std::string> failed_jobs;
   run_table runs;
@@ -269,10 +274,6 @@
   void MarkWaiting(const std::string& job);
   void Refresh(const workflow::job& job, waiting_job& waiting);
   job_rank RankOf(const workflow::job& job) const;
-  double ExpectedRunTimeMs(const workflow::queue& queue,
-                           const workflow::step& step) const;
-  void UpdateMeanRunTime(const workflow::run_id& run,
-                         const tracked_run& tracked);
   bool PlanJob(const workflow::job& job, waiting_job& waiting);
   bool IsDue(const workflow::job& job, std::uint32_t occurrence) const;
   waiting_tasks FindWaitingTasks(const workflow::job& job,
@@ -288,6 +289,17 @@
   bool IsAssignedTo(const workflow::run_id& run,
                     const worker_monitor& monitor) const;
 
+  // run_times.cpp: run times that are learned, and what follows from them.
+  void NoteRunTime(const worker_monitor& monitor, const workflow::run_id& run,
+                   const tracked_run& tracked);
+  void LearnStep(const workflow::job& job, const step_key& key);
+  double ExpectedRunTimeMs(const workflow::queue& queue, std::uint32_t number,
+                           const workflow::step& step) const;
+  double ExpectedRemainingMs(const workflow::run_id& run,
+                             const tracked_run& tracked) const;
+  void ReviewPaces();
+  void ReportRunTimes();
+
   // step_planner.cpp: assignment of the waiting tasks of one step.
   void PlanStep(const workflow::job& job, objective_status objective,
                 const workflow::queue& queue, waiting_tasks& waiting);
@@ -405,8 +417,10 @@
   std::map<step_key, std::set<core::worker_id>> lost_workers;
   /// Share of the checked workers that were eligible, by queue.
   std::map<std::string, double> eligible_share;
-  /// Mean run time of the tasks that succeeded, by queue, in milliseconds.
-  std::map<std::string, double> mean_run_ms;
+  /// Run times of finished steps; a new leader learns anew.
+  durations::estimator run_times;
+  durations::accuracy_report accuracy;
+  step_runs finished_runs;
   std::vector<planned_run> planned_runs;
   /// The runs of suspected tasks, each with those that have to start with it.
   std::vector<std::vector<planned_run>> planned_suspects;
--- a/src/dispatch/planner.cpp
+++ b/src/dispatch/planner.cpp
@@ -1,7 +1,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 #include "dispatch/dispatcher_impl.h"
@@ -37,8 +36,6 @@
 /// Time in which the workers of suspected tasks have to answer, and what they
 /// report is recorded. Later, an answer no longer shows that they are alive.
 constexpr core::milliseconds kConfirmationTime{1'500};
-/// Weight of each run in the mean run time of a queue.
-constexpr double kRunTimeWeight = 0.05;
 
 /// @return the time of the critical path of one occurrence, in milliseconds.
 /// @param step_time time of a step in milliseconds; 0 if the step is done.
@@ -88,29 +85,6 @@
   }
 }
 
-/// @return the expected run time of a task: the geometric mean of the declared
-/// time and the mean run time of the queue's tasks.
-double dispatcher::impl::ExpectedRunTimeMs(const workflow::queue& queue,
-                                           const workflow::step& step) const {
-  const auto mean = mean_run_ms.find(queue.name);
-  const auto declared = static_cast<double>(step.estimate_ms);
-  if (mean == mean_run_ms.end()) return declared;
-  if (declared <= 0) return mean->second;
-  return std::sqrt(mean->second * declared);
-}
-
-void dispatcher::impl::UpdateMeanRunTime(const workflow::run_id& run,
-                                         const tracked_run& tracked) {
-  const workflow::job* const job = event_log.State().FindJob(run.task.job);
-  if (job == nullptr) return;
-  const auto run_time_ms = std::chrono::duration<double, std::milli>(
-                               clock.Now() - tracked.tracked_since)
-                               .count();
-  const auto [mean, inserted] =
-      mean_run_ms.emplace(job->queue.name, run_time_ms);
-  if (!inserted) mean->second += kRunTimeWeight * (run_time_ms - mean->second);
-}
-
 /// Ranks a job by whether it can still be on time, then by the priority of its
 /// queue and its age.
 job_rank dispatcher::impl::RankOf(const workflow::job& job) const {
@@ -125,12 +99,12 @@
         kTypicalWorkersPerCheck * queue.eligibility->per_worker_ms;
   }
   const double total_ms = LongestChain(job.spec, [&](std::uint32_t i) {
-    return ExpectedRunTimeMs(queue, job.spec.steps[i]) + check_ms_per_step;
+    return ExpectedRunTimeMs(queue, i, job.spec.steps[i]) + check_ms_per_step;
   });
   const double remaining_ms = LongestChain(job.spec, [&](std::uint32_t i) {
     return job.unfinished_tasks[job.StepIndex(0, i)] == 0
                ? 0.0
-               : ExpectedRunTimeMs(queue, job.spec.steps[i]);
+               : ExpectedRunTimeMs(queue, i, job.spec.steps[i]);
   });
   const double objective_ms = queue.stretch_factor * total_ms +
                               static_cast<double>(queue.target_latency_ms);
@@ -226,7 +200,7 @@
                                    ? monitor->backoff.IsFirstPartActive(now)
                                    : monitor->backoff.IsActive(now);
     const bool is_usable = IsAnswering(*monitor, now) && !is_in_backoff &&
-                           now >= monitor->avoid_until;
+                           now >= monitor->avoid_until && !monitor->is_slow;
     if (!is_usable || IsStartingSuspect(*monitor)) continue;
     const core::resources& capacity = monitor->worker.capacity;
     const core::resources free = capacity - monitor->runs.Used();
--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -40,6 +40,7 @@
                     planned.ticket};
   order.checkpoint =
       job->tasks[*job->FindTaskIndex(planned.run.task)].checkpoint;
+  const bool from_checkpoint = !order.checkpoint.empty();
   monitor->wakeup.NotifyAll();
   tracked->start_expires = monitor->lease_end;
   tracked->may_arrive = true;
@@ -54,6 +55,7 @@
     UpdateClock(*monitor, done->clock_ms, reading_source::kAnswer);
     tracked->resolved_after_poll = monitor->polls_sent;
     tracked->started_at = clock.Now();
+    tracked->is_whole = !may_arrive && !from_checkpoint;
     RecordStart(planned.run, *monitor);
     if (monitor->suspected_run) Spawn(PollAfterStart(monitor));
     co_return;
--- a/src/dispatch/run_table.h
+++ b/src/dispatch/run_table.h
@@ -32,6 +32,9 @@
   bool may_arrive = false;
   /// Time at which the worker confirmed the start or first listed the run.
   std::optional<core::time_point> started_at;
+  /// The worker confirmed the only order to start the run, which had no
+  /// checkpoint: the time since `started_at` is that of all its work.
+  bool is_whole = false;
   /// Number of polls sent when the worker confirmed the start or a stop, or 0
   /// if an earlier leader recorded the run; unset until then. If a later poll
   /// does not list the run, the worker does not have it.
