Carry the wait of a read as a signed number, as other times

Cause: CodecTest fills messages with any milliseconds. Tests: wire_test, platform_test, dispatch_test without the load tests.

--- a/src/wire/convert_workflow_messages.cpp
+++ b/src/wire/convert_workflow_messages.cpp
@@ -34,7 +34,7 @@
   auto query = builder.initGet();
   Write(value.address, query.initAddress());
   if (value.key) query.setKey(DigestData(*value.key));
-  query.setWaitMs(static_cast<std::uint32_t>(value.wait.count()));
+  query.setWaitMs(value.wait.count());
 }
 static void WriteRequest(const workflow::cancel_job& value,
                          schema::WorkflowRequest::Builder builder) {
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -178,7 +178,7 @@
   address @0 :JobAddress;
   # SHA-256 of the caller's key; empty if it sent none.
   key @1 :Data;
-  waitMs @2 :UInt32;
+  waitMs @2 :Int64;
 }
 
 struct WorkflowRequest {
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -3151,7 +3151,7 @@
   inline bool hasKey() const;
   inline  ::capnp::Data::Reader getKey() const;
 
-  inline  ::uint32_t getWaitMs() const;
+  inline  ::int64_t getWaitMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3195,8 +3195,8 @@
   inline void adoptKey(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownKey();
 
-  inline  ::uint32_t getWaitMs();
-  inline void setWaitMs( ::uint32_t value);
+  inline  ::int64_t getWaitMs();
+  inline void setWaitMs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8381,17 +8381,17 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobQuery::Reader::getWaitMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int64_t JobQuery::Reader::getWaitMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t JobQuery::Builder::getWaitMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::int64_t JobQuery::Builder::getWaitMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobQuery::Builder::setWaitMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void JobQuery::Builder::setWaitMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
