--- a/src/wire/convert_workflow_messages.cpp
+++ b/src/wire/convert_workflow_messages.cpp
@@ -35,6 +35,7 @@
 static void WriteRequest(const workflow::get_job& value,
                          schema::WorkflowRequest::Builder builder) {
   Write(value.address, value.key, builder.initGet());
+  builder.setWaitMs(value.wait.count());
 }
 static void WriteRequest(const workflow::cancel_job& value,
                          schema::WorkflowRequest::Builder builder) {
@@ -79,7 +80,8 @@
     }
     case WorkflowRequest::GET:
       return workflow::get_job{ReadAddress(reader.getGet()),
-                               ReadDigest(reader.getGet().getKey())};
+                               ReadDigest(reader.getGet().getKey()),
+                               core::milliseconds(reader.getWaitMs())};
     case WorkflowRequest::CANCEL:
       return workflow::cancel_job{ReadAddress(reader.getCancel()),
                                   ReadDigest(reader.getCancel().getKey())};
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -197,6 +197,8 @@
       address @11 :Cell.Endpoint;
     }
   }
+  # Of a read of a job.
+  waitMs @12 :Int64;
 }
 
 struct WorkflowAnswer {
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -417,7 +417,7 @@
   struct JoinMembers;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -432,7 +432,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -447,7 +447,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -462,7 +462,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3170,6 +3170,8 @@
   inline bool isJoinMembers() const;
   inline typename JoinMembers::Reader getJoinMembers() const;
 
+  inline  ::int64_t getWaitMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3250,6 +3252,9 @@
   inline typename JoinMembers::Builder getJoinMembers();
   inline typename JoinMembers::Builder initJoinMembers();
 
+  inline  ::int64_t getWaitMs();
+  inline void setWaitMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8563,6 +8568,20 @@
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename WorkflowRequest::JoinMembers::Builder(_builder);
 }
+inline  ::int64_t WorkflowRequest::Reader::getWaitMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t WorkflowRequest::Builder::getWaitMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowRequest::Builder::setWaitMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkflowRequest::Submit::Reader::hasTo() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
