--- a/include/mangoplank/api/server.h
+++ b/include/mangoplank/api/server.h
@@ -8,6 +8,7 @@
 #include "mangoplank/api/http.h"
 #include "mangoplank/core/failure.h"
 #include "mangoplank/metrics/registry.h"
+#include "mangoplank/process/memory_budget.h"
 
 namespace mangoplank::api {
 
@@ -24,6 +25,13 @@
   /// Time for which input is read and discarded before a connection is closed,
   /// so that a client that is still sending gets the response, not a reset.
   core::milliseconds linger_timeout{1'000};
+  /// Bounds of the same: bytes for each connection, and connections at once.
+  std::uint64_t max_linger_bytes = 1024 * 1024;
+  std::size_t max_lingering = 128;
+  /// What the kernel may hold unread for a connection, and for one whose large
+  /// body is being read.
+  int receive_buffer_bytes = 8 * 1024;
+  int body_receive_buffer_bytes = 64 * 1024;
 
   friend bool operator==(const server_limits&, const server_limits&) = default;
 };
@@ -35,10 +43,11 @@
 /// HTTP/1.1 server with one coroutine for each connection.
 class server {
  public:
-  /// The references must outlive the server.
+  /// The references must outlive the server and its connections.
+  /// @param budget that the servers of a process share.
   server(boost::asio::any_io_executor executor, core::clock& clock,
          api::handler& handler, metrics::registry& metrics,
-         server_limits limits);
+         process::memory_budget& budget, server_limits limits);
   /// Aborts the connections that are still open; they end by themselves.
   ~server();
 
--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -99,7 +99,7 @@
         seeds = [p.ip for p in self.cell.controllers[:3]]
         values = {
             "node-name": self.name, "ip": self.ip, "zone": "zone-1", "bootstrap": bootstrap,
-            "limits": {"max-fds": 4096}, "internal-ports": INTERNAL_PORTS,
+            "limits": {"max-fds": 4096, "memory-mb": 256}, "internal-ports": INTERNAL_PORTS,
             "bind-addrs": {"front": f"{self.ip}:{FRONT_PORT}", "ready": f"{self.ip}:{READY_PORT}",
                            "control": f"{self.ip}:{CONTROL_PORT}"},
             "seed-nodes": [f"{ip}:{CONTROL_PORT}" for ip in seeds],
--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -92,7 +92,7 @@
         is_controller = self.role == "controller"
         values = {
             "node-name": self.name, "role": self.role, "ip": self.ip, "zone": "z1",
-            "limits": {"max-fds": MAX_DESCRIPTORS},
+            "limits": {"max-fds": MAX_DESCRIPTORS, "memory-mb": 256},
             "bind-addrs": ({"control": f"{self.ip}:8166"} if is_controller else
                            {"front": f"{self.ip}:8161", "ready": f"{self.ip}:8167"}),
             "internal-ports": [7720, 7735], "seed-nodes": self.cell.seeds,
--- a/src/api/connection.cpp
+++ b/src/api/connection.cpp
@@ -21,7 +21,19 @@
 using boost::system::error_code;
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kReadBytes = 64 * 1024;
+/// Read buffer of a connection at rest; most requests fit.
+constexpr std::size_t kReadBytes = 4 * 1024;
+/// Read buffer for a body that has outgrown the first one.
+constexpr std::size_t kBodyReadBytes = 16 * 1024;
+/// Copies of a body on its way: as received, its values, the encoded message
+/// and the queue of the connection to the leader.
+constexpr std::uint64_t kBodyCopies = 4;
+/// The header as received and its fields as the handler gets them.
+constexpr std::uint64_t kHeaderCopies = 2;
+/// Taken before a request is handled, so that an ordinary answer always has
+/// its memory.
+constexpr std::uint64_t kAnswerBytes = 4 * 1024;
+constexpr core::milliseconds kRetryAfter(1'000);
 /// Interval at which a stream without data checks for a shutdown.
 constexpr core::milliseconds kStreamPollInterval(500);
 
@@ -30,6 +42,14 @@
     return {408, "request-timeout", "The request was not received in time",
             "the client must send the whole request within the time limit"};
   }
+  if (error == asio::error::no_memory) {
+    return {503,
+            "no-memory",
+            "The entry has no memory left for the request",
+            "try again, on another entry if possible",
+            {},
+            kRetryAfter};
+  }
   if (error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
     return {431, "header-too-large", "The header is over the limit",
@@ -91,7 +111,9 @@
                        connection::environment& environment)
     : socket_(std::move(client_socket)),
       environment_(environment),
-      buffer_(environment.limits.max_header_bytes + 2 * kReadBytes) {
+      buffer_(environment.limits.max_header_bytes + kBodyReadBytes),
+      lease_(environment.budget, [this] { OnEvicted(); }),
+      receive_buffer_bytes_(environment.limits.receive_buffer_bytes) {
   error_code ec;
   const auto remote = socket_.remote_endpoint(ec);
   if (!ec) peer_ = remote.address().to_string();
@@ -134,7 +156,7 @@
                          "The entry has no free connection",
                          "try again, on another entry if possible",
                          {},
-                         core::milliseconds(1000)};
+                         kRetryAfter};
   const response rejection = Render(too_many);
   co_await Send(rejection, false, false);
   co_await Linger();
@@ -157,11 +179,112 @@
   parser request_parser;
   request_parser.header_limit(environment_.limits.max_header_bytes);
   request_parser.body_limit(environment_.limits.max_body_bytes);
+  header_bytes_ = 0;
   const bool has_header = co_await ReadHeader(request_parser);
   if (!has_header) co_return false;
   const bool has_body = co_await ReadBody(request_parser);
   if (!has_body) co_return false;
-  co_return co_await Respond(request_parser);
+  const bool open = co_await Respond(request_parser);
+  ReleaseRequest(request_parser);
+  co_return open;
+}
+
+void connection::OnEvicted() {
+  error_code ignored;
+  if (sending_) {
+    socket_.shutdown(socket::shutdown_both, ignored);
+  } else {
+    socket_.cancel(ignored);
+  }
+}
+
+void connection::SetReceiveBuffer(int bytes) {
+  if (receive_buffer_bytes_ == bytes) return;
+  error_code ignored;
+  socket_.set_option(socket::receive_buffer_size(bytes), ignored);
+  receive_buffer_bytes_ = bytes;
+}
+
+void connection::ReleaseRequest(parser& request_parser) {
+  request_parser.get().body() = std::string();
+  if (buffer_.capacity() > kReadBytes) buffer_.shrink_to_fit();
+  SetReceiveBuffer(environment_.limits.receive_buffer_bytes);
+  lease_.Release();
+  sending_ = false;
+}
+
+std::uint64_t connection::HeldBytes(parser& request_parser) const {
+  const std::string& body = request_parser.get().body();
+  const std::size_t buffered = buffer_.capacity();
+  // A string that grows has up to twice its size.
+  return header_bytes_ + std::min(body.capacity(), 2 * body.size()) +
+         (buffered - std::min(buffered, kReadBytes)) +
+         static_cast<std::uint64_t>(receive_buffer_bytes_ -
+                                    environment_.limits.receive_buffer_bytes);
+}
+
+error_code connection::Parse(parser& request_parser) {
+  error_code ec;
+  if (buffer_.size() == 0) return ec;
+  const bool is_header = !request_parser.is_header_done();
+  const std::size_t parsed = request_parser.put(buffer_.data(), ec);
+  buffer_.consume(parsed);
+  if (is_header) header_bytes_ += parsed;
+  if (ec == http::error::need_more) ec = {};
+  return ec;
+}
+
+std::size_t connection::NextReadBytes(parser& request_parser) const {
+  const std::size_t free = buffer_.capacity() - buffer_.size();
+  const std::size_t least = free > 0 ? free : kReadBytes;
+  // What is left of a body with an announced length; the rest of a chunked one
+  // is taken to be as long as what came before.
+  const std::uint64_t expected =
+      request_parser.content_length_remaining().value_or(
+          request_parser.get().body().size());
+  const std::size_t wanted =
+      request_parser.is_header_done()
+          ? std::clamp<std::uint64_t>(expected, least,
+                                      std::max(least, kBodyReadBytes))
+          : least;
+  return std::min(wanted, buffer_.max_size() - buffer_.size());
+}
+
+core::awaitable<error_code> connection::ReadSome(parser& request_parser) {
+  const std::size_t free = buffer_.capacity() - buffer_.size();
+  const bool is_large = request_parser.get().body().size() >= kBodyReadBytes;
+  const std::size_t size = NextReadBytes(request_parser);
+  if (size == 0) co_return http::error::buffer_overflow;
+  const int unread = is_large ? environment_.limits.body_receive_buffer_bytes
+                              : environment_.limits.receive_buffer_bytes;
+  // The buffer doubles when it grows, and so does the body.
+  const std::uint64_t more =
+      (size > free ? 2 * buffer_.size() + size : 0) + 2 * size +
+      static_cast<std::uint64_t>(std::max(0, unread - receive_buffer_bytes_));
+  const bool granted = co_await lease_.Resize(HeldBytes(request_parser) + more);
+  if (!granted) co_return asio::error::no_memory;
+  SetReceiveBuffer(unread);
+  const auto space = buffer_.prepare(size);
+  auto [ec, n] = co_await socket_.async_read_some(space, kTuple);
+  buffer_.commit(n);
+  if (lease_.IsEvicted()) co_return asio::error::no_memory;
+  if (ec == asio::error::eof) {
+    ec = http::error::end_of_stream;
+    if (request_parser.got_some()) request_parser.put_eof(ec);
+  }
+  co_return ec;
+}
+
+core::awaitable<error_code> connection::ReadUntil(parser& request_parser,
+                                                  part end) {
+  while (true) {
+    error_code ec = Parse(request_parser);
+    const bool is_read = end == part::kHeader ? request_parser.is_header_done()
+                                              : request_parser.is_done();
+    if (!ec && is_read) co_return ec;
+    if (!ec) ec = co_await ReadSome(request_parser);
+    if (ec) co_return ec;
+  }
 }
 
 core::awaitable<bool> connection::ReadHeader(parser& request_parser) {
@@ -171,9 +294,7 @@
     const time_limit limit(environment_.clock, socket_,
                            environment_.limits.header_timeout,
                            time_limit::direction::kReceive);
-    const auto [failed, n] = co_await http::async_read_header(
-        socket_, buffer_, request_parser, kTuple);
-    ec = failed;
+    ec = co_await ReadUntil(request_parser, part::kHeader);
     timed_out = limit.HasExpired();
   }
   if (!ec) {
@@ -204,13 +325,12 @@
   }
   bool timed_out = false;
   error_code ec;
+  request_parser.eager(true);
   {
     const time_limit limit(environment_.clock, socket_,
                            environment_.limits.body_timeout,
                            time_limit::direction::kReceive);
-    const auto [failed, n] =
-        co_await http::async_read(socket_, buffer_, request_parser, kTuple);
-    ec = failed;
+    ec = co_await ReadUntil(request_parser, part::kBody);
     timed_out = limit.HasExpired();
   }
   if (!ec) co_return true;
@@ -218,11 +338,15 @@
   co_return false;
 }
 
-core::awaitable<void> connection::RespondToReadError(
-    const parser& request_parser, error_code error, bool timed_out) {
+core::awaitable<void> connection::RespondToReadError(parser& request_parser,
+                                                     error_code error,
+                                                     bool timed_out) {
+  ReleaseRequest(request_parser);
+  buffer_.clear();
   // The client closed the connection before it sent a request.
   if (error == http::error::end_of_stream && !timed_out) co_return;
   const bool lost =
+      error != asio::error::no_memory &&
       error.category() != make_error_code(http::error::body_limit).category();
   if (lost && !timed_out) co_return;
   // Only a new call is known not to run; a query for the outcome of an earlier
@@ -241,6 +365,14 @@
   const bool head_only = request_parser.get().method() == http::verb::head;
   const bool is_http_1_0 = request_parser.get().version() < 11;
   const bool keep_alive = request_parser.keep_alive();
+  const bool granted = co_await lease_.Resize(
+      kHeaderCopies * header_bytes_ +
+      kBodyCopies * request_parser.get().body().size() + kAnswerBytes);
+  if (!granted) {
+    co_await RespondToReadError(request_parser, asio::error::no_memory, false);
+    co_return false;
+  }
+  lease_.Pin();
   api::request request;
   request.method = head_only
                        ? std::string("GET")
@@ -249,23 +381,37 @@
   request.headers = HeadersOf(request_parser.get());
   request.body = std::move(request_parser.get().body());
   request.peer = peer_;
-  reply answer = co_await environment_.handler.Handle(std::move(request));
-  bool open = false;
-  if (auto* const complete = std::get_if<response>(&answer)) {
+  const reply answer = co_await environment_.handler.Handle(std::move(request));
+  lease_.Unpin();
+  sending_ = true;
+  co_return co_await SendReply(answer, keep_alive, head_only, is_http_1_0,
+                               received);
+}
+
+core::awaitable<bool> connection::SendReply(const reply& answer,
+                                            bool keep_alive, bool head_only,
+                                            bool is_http_1_0,
+                                            core::time_point received) {
+  if (const auto* const complete = std::get_if<response>(&answer)) {
     RecordResponse(complete->status, received);
-    open = co_await Send(*complete, keep_alive && !environment_.stopping,
-                         head_only);
-  } else if (is_http_1_0) {
+    const bool granted = co_await lease_.Resize(
+        std::max<std::uint64_t>(kAnswerBytes, complete->body.capacity()));
+    // Another answer would not be true: the request may have taken effect.
+    if (!granted) co_return false;
+    co_return co_await Send(*complete, keep_alive && !environment_.stopping,
+                            head_only);
+  }
+  if (is_http_1_0) {
     const problem unsupported{505, "http-version", "A watch needs HTTP/1.1",
                               ""};
     const response refusal = Render(unsupported);
-    open = co_await Send(refusal, false, head_only);
-  } else {
-    const auto& stream = std::get<streamed_response>(answer);
-    RecordResponse(stream.head.status, received);
-    open = co_await SendStream(stream, head_only);
+    co_return co_await Send(refusal, false, head_only);
   }
-  co_return open;
+  const auto& stream = std::get<streamed_response>(answer);
+  RecordResponse(stream.head.status, received);
+  // A stream may last for hours and holds a piece at a time.
+  lease_.Release();
+  co_return co_await SendStream(stream, head_only);
 }
 
 core::awaitable<bool> connection::Send(const api::response& response,
@@ -333,14 +479,24 @@
   error_code ec;
   socket_.shutdown(socket::shutdown_send, ec);
   if (ec) co_return;
+  if (environment_.lingering >= environment_.limits.max_lingering) co_return;
+  ++environment_.lingering;
+  co_await Discard();
+  --environment_.lingering;
+}
+
+core::awaitable<void> connection::Discard() {
   const time_limit limit(environment_.clock, socket_,
                          environment_.limits.linger_timeout,
                          time_limit::direction::kBoth);
-  std::array<char, 4096> discarded{};
-  while (!ec) {
+  std::array<char, kReadBytes> discarded{};
+  std::uint64_t total = 0;
+  error_code ec;
+  while (!ec && total < environment_.limits.max_linger_bytes) {
     const auto space = asio::buffer(discarded);
     const auto [failed, n] = co_await socket_.async_read_some(space, kTuple);
     ec = failed;
+    total += n;
   }
 }
 
--- a/src/api/connection.h
+++ b/src/api/connection.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "api/growing_body.h"
 #include "mangoplank/api/server.h"
 
 namespace mangoplank::api {
@@ -39,6 +40,7 @@
   struct environment {
     core::clock& clock;
     api::handler& handler;
+    process::memory_budget& budget;
     server_limits limits;
     /// Responses by the first digit of the status.
     std::array<metrics::counter*, 6> responses_by_class;
@@ -48,6 +50,8 @@
     /// While stopping: time until which an idle connection waits for a request
     /// that may already be under way.
     core::time_point idle_deadline{};
+    /// Connections that discard input before they are closed.
+    std::size_t lingering = 0;
   };
 
   connection(socket client_socket, connection::environment& environment);
@@ -65,31 +69,54 @@
   void Abort();
 
  private:
-  using parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using parser = boost::beast::http::request_parser<growing_body>;
 
   core::awaitable<bool> WaitForRequest();
   core::milliseconds IdleTimeout() const;
   /// @return whether the connection stays open.
   core::awaitable<bool> ServeRequest();
+  std::size_t NextReadBytes(parser& request_parser) const;
+  /// Parses what has been read.
+  boost::system::error_code Parse(parser& request_parser);
+  /// Reads once, after taking the memory for it from the budget.
+  /// @return asio::error::no_memory if it was refused.
+  core::awaitable<boost::system::error_code> ReadSome(parser& request_parser);
+  enum class part { kHeader, kBody };
+  core::awaitable<boost::system::error_code> ReadUntil(parser& request_parser,
+                                                       part end);
+  /// @return the memory that an unfinished request takes.
+  std::uint64_t HeldBytes(parser& request_parser) const;
+  /// Lets the kernel hold more of a body that needs several reads.
+  void SetReceiveBuffer(int bytes);
+  /// Frees the request and its share of the budget.
+  void ReleaseRequest(parser& request_parser);
+  void OnEvicted();
   core::awaitable<bool> ReadHeader(parser& request_parser);
   core::awaitable<bool> ReadBody(parser& request_parser);
   core::awaitable<bool> SendContinue();
   core::awaitable<bool> Respond(parser& request_parser);
+  core::awaitable<bool> SendReply(const reply& answer, bool keep_alive,
+                                  bool head_only, bool is_http_1_0,
+                                  core::time_point received);
   core::awaitable<bool> Send(const api::response& response, bool keep_alive,
                              bool head_only);
   core::awaitable<bool> SendStream(const streamed_response& response,
                                    bool head_only);
   core::awaitable<void> SendChunks(body_stream& body);
-  core::awaitable<void> RespondToReadError(const parser& request_parser,
+  core::awaitable<void> RespondToReadError(parser& request_parser,
                                            boost::system::error_code error,
                                            bool timed_out);
   core::awaitable<void> Linger();
+  core::awaitable<void> Discard();
   void RecordResponse(unsigned status, core::time_point received);
 
   socket socket_;
   environment& environment_;
   boost::beast::flat_buffer buffer_;
+  process::memory_lease lease_;
+  std::size_t header_bytes_ = 0;
+  int receive_buffer_bytes_;
+  bool sending_ = false;
   std::string peer_;
   std::optional<core::time_point> idle_since_;
 };
--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -59,10 +59,15 @@
 
 struct server::impl : std::enable_shared_from_this<server::impl> {
   impl(asio::any_io_executor executor, core::clock& clock,
-       api::handler& handler, metrics::registry& metrics, server_limits limits)
+       api::handler& handler, metrics::registry& metrics,
+       process::memory_budget& budget, server_limits limits)
       : acceptor(executor),
         environment{
-            clock, handler, limits, RegisterResponseCounters(metrics),
+            clock,
+            handler,
+            budget,
+            limits,
+            RegisterResponseCounters(metrics),
             metrics.Histogram("mangoplank_http_request_seconds",
                               "Time from a whole request to its response")},
         open_connections(metrics.Gauge("mangoplank_http_connections",
@@ -94,6 +99,10 @@
   const tcp::endpoint local(address, endpoint.port);
   acceptor.open(local.protocol(), ec);
   if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  // Accepted sockets inherit it; set later, it wouldn't bound the first window.
+  const tcp::acceptor::receive_buffer_size unread(
+      environment.limits.receive_buffer_bytes);
+  if (!ec) acceptor.set_option(unread, ec);
   if (!ec) acceptor.bind(local, ec);
   if (!ec) acceptor.listen(tcp::acceptor::max_listen_connections, ec);
   if (!ec) acceptor.non_blocking(true, ec);
@@ -179,9 +188,9 @@
 
 server::server(asio::any_io_executor executor, core::clock& clock,
                api::handler& handler, metrics::registry& metrics,
-               server_limits limits)
+               process::memory_budget& budget, server_limits limits)
     : impl_(std::make_shared<impl>(std::move(executor), clock, handler, metrics,
-                                   limits)) {}
+                                   budget, limits)) {}
 
 server::~server() {
   impl_->environment.stopping = true;
--- a/src/api/test_cell.h
+++ b/src/api/test_cell.h
@@ -221,7 +221,9 @@
 class test_cell {
  public:
   explicit test_cell(server_limits limits = {},
-                     interface_settings base_settings = {}) {
+                     interface_settings base_settings = {},
+                     process::memory_limits memory = {})
+      : budget(io.get_executor(), clock, metrics, memory) {
     settings = std::move(base_settings);
     settings.admin_token_sha256 = Sha256Hex(kAdminToken);
     settings.worker_token_sha256 = Sha256Hex(kWorkerToken);
@@ -233,7 +235,7 @@
         interface_dependencies{client, view, runner, announcer, metrics, clock},
         settings);
     http = std::make_unique<server>(io.get_executor(), clock, *handler, metrics,
-                                    limits);
+                                    budget, limits);
     endpoint = *http->Listen({"127.0.0.1", 0});
     thread_ = std::thread([this] { io.run(); });
   }
@@ -274,6 +276,7 @@
   core::system_clock clock{io.get_executor()};
   distribution::view view;
   metrics::registry metrics;
+  process::memory_budget budget;
   fake_client client{io.get_executor(), clock, view};
   fake_runner runner;
   fake_announcer announcer;
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -101,7 +101,8 @@
             kMaxEntryConnections),
         handler_(registry_,
                  [this] { return node_.Status().leader.has_value(); }),
-        http_(io_.get_executor(), clock_, handler_, registry_, {}),
+        budget_(io_.get_executor(), clock_, registry_, {}),
+        http_(io_.get_executor(), clock_, handler_, registry_, budget_, {}),
         signals_(io_, SIGTERM, SIGINT) {}
 
   process::exit_code Run() {
@@ -210,6 +211,7 @@
   wire::peer_acceptor peer_listener_;
   wire::listener entry_listener_;
   api::process_handler handler_;
+  process::memory_budget budget_;
   api::server http_;
   asio::signal_set signals_;
   bool stopping_ = false;
--- a/src/ctl/session_test.cpp
+++ b/src/ctl/session_test.cpp
@@ -305,8 +305,11 @@
   core::system_clock clock(io.get_executor());
   metrics::registry registry;
   fixed_answer handler;
-  api::server server(io.get_executor(), clock, handler, registry, {});
-  const auto address = server.Listen({"127.0.0.1", 0});
+  process::memory_budget budget(io.get_executor(), clock, registry, {});
+  auto server =
+      std::make_unique<api::server>(io.get_executor(), clock, handler, registry,
+                                    budget, api::server_limits{});
+  const auto address = server->Listen({"127.0.0.1", 0});
   ASSERT_TRUE(address);
   const std::string file = Write("a.json", kPlanner);
   for (const char* body : {"", "[]", "{}", R"({"spec":null})", "not JSON"}) {
@@ -330,6 +333,9 @@
       EXPECT_NE(r.err, "") << arguments[0] << body;
     }
   }
+  // Its connections use the clock and must end before it does.
+  server.reset();
+  io.run();
 }
 
 // Guards against a watch that stops at the first lost connection.
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -69,6 +69,16 @@
   return limits;
 }
 
+process::memory_limits MakeMemoryLimits(const settings::values& values) {
+  process::memory_limits limits;
+  // A body takes several times its length on its way.
+  limits.bytes = static_cast<std::uint64_t>(
+      std::max(values.Integer("serve", "request_memory"),
+               8 * values.Integer("listen", "max_body")));
+  limits.reserve = limits.bytes / 4;
+  return limits;
+}
+
 /// Owns and connects the components of an entry process.
 class entry_process {
  public:
@@ -107,7 +117,9 @@
                       return meter_.ToJson(department);
                     }},
                    MakeInterfaceSettings(values, hello_)),
-        server_(io_.get_executor(), clock_, interface_, registry_,
+        budget_(io_.get_executor(), clock_, registry_,
+                MakeMemoryLimits(values)),
+        server_(io_.get_executor(), clock_, interface_, registry_, budget_,
                 MakeServerLimits(values)),
         signals_(io_, SIGTERM, SIGINT) {}
 
@@ -217,6 +229,7 @@
   calls::dispatcher dispatcher_;
   objective_meter meter_;
   api::resource_interface interface_;
+  process::memory_budget budget_;
   api::server server_;
   asio::signal_set signals_;
 };
--- a/src/entry/options.cpp
+++ b/src/entry/options.cpp
@@ -39,6 +39,12 @@
         "Time for which announcements are collected."},
        {"serve", "max_announcements", integer_option{8'192, 1, 65'536, ""},
         "Announcements that wait for a reply at once."},
+       {"serve", "request_memory",
+        integer_option{128 * 1024 * 1024, 8 * 1024 * 1024, 1'073'741'824,
+                       "bytes"},
+        "Memory that requests of clients hold together, about four times their "
+        "bodies; those over it are refused with 503. At least eight times "
+        "listen.max_body counts."},
        {"drain", "balancer_delay", integer_option{3'000, 0, 60'000, "ms"},
         "Time between failing the readiness check and refusing connections."},
        {"drain", "limit", integer_option{30'000, 0, 600'000, "ms"},
