--- a/src/wire/earlier_format_test.cpp
+++ b/src/wire/earlier_format_test.cpp
@@ -110,8 +110,8 @@
 TEST(EarlierFormatTest, ARequestWithoutAKeyHasTheSameContentAsBefore) {
   const workflow::message get =
       workflow::request{7, workflow::get_job{{"host", "/q/1"}}};
-  // One more pointer, which is null.
-  EXPECT_EQ(Encode(get).size(), Unpack(kGet).size() + 8);
+  // The pointer to the key, which is null, and the time that a read may wait.
+  EXPECT_EQ(Encode(get).size(), Unpack(kGet).size() + 16);
 }
 
 }  // namespace
