--- a/src/dispatch/load_fixture.cpp
+++ b/src/dispatch/load_fixture.cpp
@@ -29,7 +29,8 @@
 constexpr double kCpuSpread = 0.4;
 constexpr double kRunTimeSpread = 0.47;
 constexpr double kTaskRunTimeSpread = 0.15;
-constexpr double kEstimateSpread = 0.4;
+/// Largest estimate as a multiple of the run time.
+constexpr double kMaxEstimate = 4;
 
 }  // namespace
 
@@ -59,7 +60,9 @@
     const double run_ms = sizes.LogNormal(profile.mean_run_ms, kRunTimeSpread,
                                           profile.mean_run_ms * 2.4);
     step.estimate_ms = static_cast<std::int64_t>(
-        sizes.LogNormal(run_ms, kEstimateSpread, run_ms * 4));
+        profile.estimate_factor * sizes.LogNormal(run_ms,
+                                                  profile.estimate_spread,
+                                                  run_ms * kMaxEstimate));
     std::vector<task_plan> tasks;
     double longest_ms = 0;
     for (std::uint32_t index = 0; index < step.count; ++index) {
@@ -214,6 +217,11 @@
   result.starts = starts;
   result.jobs = plans.size();
   result.repeated_starts = repeated_starts;
+  result.overcommitted_starts = overcommitted_starts;
+  for (const auto& [id, job] : event_log.state.Jobs()) {
+    if (IsFinal(job.phase)) ++result.ended_jobs;
+    if (job.phase == workflow::job_phase::kFailed) ++result.failed_jobs;
+  }
   result.round_cpu_s = dispatch_metrics(registry).round_time.Sum();
   return result;
 }
@@ -243,11 +251,16 @@
     worker.capacity = run.settings.capacity;
     run.workers[worker.key.id].has_ends =
         std::make_unique<core::event>(run.context.get_executor(), run.clock);
+    const auto slow_workers = static_cast<std::size_t>(
+        run.settings.slow_share * static_cast<double>(run.settings.workers));
+    if (i < slow_workers) {
+      run.workers[worker.key.id].slowness = run.settings.slow_factor;
+    }
     run.event_log.Apply(workflow::worker_announced{worker});
   }
   for (std::size_t i = 0; i < run.settings.proxies; ++i) run.proxy_queue.Add();
   run.active = std::make_unique<dispatcher>(
-      dispatcher_settings{}, kTerm, run.context.get_executor(), run.clock,
+      run.settings.dispatcher, kTerm, run.context.get_executor(), run.clock,
       run.event_log, run, run, run.registry);
   run.event_log.observer = run.active.get();
   run.event_log.latency = run.settings.commit_time;
--- a/src/dispatch/load_fixture.h
+++ b/src/dispatch/load_fixture.h
@@ -25,6 +25,10 @@
   double mean_steps = 1;
   double mean_tasks = 1;
   double mean_run_ms = 1'000;
+  /// Standard deviation of the logarithm of the callers' estimates.
+  double estimate_spread = 0.4;
+  /// Factor on all of the estimates.
+  double estimate_factor = 1;
   double mean_cpu_milli = 1'000;
   double mean_memory_mib = 1'000;
   /// Share of the jobs whose tasks start together.
@@ -53,6 +57,10 @@
   /// Share of the orders to workers that get no answer and are carried out
   /// seconds later, after newer ones.
   double late_order_share = 0;
+  /// Share of the workers on which tasks take longer, and by what factor.
+  double slow_share = 0;
+  double slow_factor = 1;
+  dispatcher_settings dispatcher;
   std::vector<load_profile> profiles;
 };
 
@@ -72,6 +80,11 @@
   std::size_t jobs = 0;
   /// Starts of a task that was running, or had succeeded, at that time.
   std::size_t repeated_starts = 0;
+  /// Starts that took a worker beyond its capacity.
+  std::size_t overcommitted_starts = 0;
+  /// Jobs that have ended.
+  std::size_t ended_jobs = 0;
+  std::size_t failed_jobs = 0;
   /// Processor time of the rounds of placement.
   double round_cpu_s = 0;
 };
--- a/src/dispatch/load_run_impl.h
+++ b/src/dispatch/load_run_impl.h
@@ -75,6 +75,8 @@
     std::int64_t lease_until_ms = 0;
     std::uint64_t next_end = 1;
     std::unique_ptr<core::event> has_ends;
+    /// Factor of the run times of its tasks.
+    double slowness = 1;
   };
   struct gang_state {
     std::vector<std::pair<workflow::run_id, core::worker_id>> members;
@@ -144,6 +146,7 @@
   std::map<workflow::task_id, int> running_by_task;
   std::set<workflow::task_id> succeeded;
   std::size_t repeated_starts = 0;
+  std::size_t overcommitted_starts = 0;
   std::unique_ptr<dispatcher> active;
   core::time_point traffic_end;
   std::size_t next_job = 0;
--- a/src/dispatch/load_workers_fixture.cpp
+++ b/src/dispatch/load_workers_fixture.cpp
@@ -90,13 +90,14 @@
   const task_plan& task = plan.tasks[run.task.step][run.task.index];
   worker_state& state = workers[worker];
   state.used = state.used + step.need;
+  if (!settings.capacity.Holds(state.used)) ++overcommitted_starts;
   state.running.emplace(run, worker_state::run{step.need, clock.Now()});
   const bool is_repeated =
       running_by_task[run.task]++ > 0 || succeeded.contains(run.task);
   if (is_repeated) ++repeated_starts;
   if (!step.gang) {
     const bool fails = task.fails_once && run.number == 1;
-    EndAfter(task.run_ms, worker, run,
+    EndAfter(task.run_ms * state.slowness, worker, run,
              fails ? workflow::run_end::kFailed : workflow::run_end::kDone);
     return;
   }
@@ -111,8 +112,12 @@
     });
     return;
   }
+  double slowest = 1;
   for (const auto& [member, at] : members) {
-    EndAfter(task.run_ms, at, member, workflow::run_end::kDone);
+    slowest = std::max(slowest, workers[at].slowness);
+  }
+  for (const auto& [member, at] : members) {
+    EndAfter(task.run_ms * slowest, at, member, workflow::run_end::kDone);
   }
 }
 
