--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -48,6 +48,7 @@
                     planned.ticket};
   order.checkpoint =
       job->tasks[*job->FindTaskIndex(planned.run.task)].checkpoint;
+  const bool from_checkpoint = !order.checkpoint.empty();
   monitor->wakeup.NotifyAll();
   tracked->start_expires = monitor->lease_end;
   tracked->may_arrive = true;
@@ -62,6 +63,7 @@
     UpdateClock(*monitor, done->clock_ms, reading_source::kAnswer);
     tracked->resolved_after_poll = monitor->polls_sent;
     tracked->started_at = clock.Now();
+    tracked->is_whole = !may_arrive && !from_checkpoint;
     RecordStart(planned.run, *monitor);
     if (monitor->suspected_run) Spawn(PollAfterStart(monitor));
     co_return;
@@ -133,8 +135,8 @@
   const auto may_repeat = [this, &monitor, &run] {
     return MayRepeatStart(*monitor, run);
   };
-  auto tried = co_await tries->Run(send, may_repeat);
-  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
+  auto tried = co_await tries->Run(send, may_repeat, &hedges);
+  if (tried.may_arrive) NoteOpenTries(monitor, tries, run);
   co_return tried;
 }
 
@@ -146,10 +148,10 @@
       monitor.deregistered_at) {
     return false;
   }
-  const auto tracked = monitor.runs.Runs().find(run);
   const workflow::job* const job = event_log.State().FindJob(run.task.job);
+  const auto tracked = monitor.runs.Runs().find(run);
   return tracked != monitor.runs.Runs().end() && !tracked->second.stopping &&
-         IsAssignedTo(run, monitor) && IsWithinCap(*job) &&
+         IsAssignedTo(run, monitor) && job != nullptr && IsWithinCap(*job) &&
          monitor.worker.capacity.Holds(monitor.runs.Ordered());
 }
 
@@ -195,8 +197,8 @@
   const auto may_repeat = [this, &monitor, &run] {
     return !stopped && !monitor->removed && monitor->runs.Contains(run);
   };
-  auto tried = co_await tries->Run(send, may_repeat);
-  if (tried.may_arrive) monitor->lost_answer_at = clock.Now();
+  auto tried = co_await tries->Run(send, may_repeat, &hedges);
+  if (tried.may_arrive) NoteOpenTries(monitor, tries, std::nullopt);
   co_return std::move(tried.result);
 }
 
--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "dispatch/job_end_waits.h"
 #include "dispatch/newest_report.h"
+#include "mangoplank/tenancy/access_metrics.h"
 #include "mangoplank/wire/codec.h"
 #include "mangoplank/workflow/limits.h"
 
@@ -26,6 +28,23 @@
 /// reports are delayed.
 constexpr core::milliseconds kReportRetention{60'000};
 
+/// Longest wait of a read for the end of a job. Callers often ask just after
+/// the last task has ended, and its end takes a poll, a commit and up to a
+/// retransmission to be known.
+constexpr core::milliseconds kMaxReadWait{250};
+
+/// @return whether the job ends with its present runs, if none of them fails.
+bool MayEndSoon(const workflow::job& job) {
+  const bool runs_on =
+      std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
+                  [](const workflow::step& step) { return step.long_running; });
+  const bool has_waiting = std::any_of(
+      job.tasks.begin(), job.tasks.end(), [](const workflow::task& task) {
+        return task.phase == workflow::task_phase::kWaiting;
+      });
+  return !IsFinal(job.phase) && !runs_on && !has_waiting;
+}
+
 core::failure QueueNotFound(const workflow::job_address& address) {
   return core::not_found{address.host + address.path};
 }
@@ -37,8 +56,11 @@
          caller.name == job.tenant.name;
 }
 
-/// The caller has a key, but of another tenant than the job's.
-core::failure OfAnotherTenant() { return core::forbidden{"another tenant"}; }
+/// What a caller addresses and on whose behalf, until the state changes.
+struct admission {
+  const workflow::queue& queue;
+  const tenancy::terms& tenant;
+};
 
 core::failure Invalid(std::string field, std::string reason) {
   return core::invalid_request{{{std::move(field), std::move(reason)}}};
@@ -98,6 +120,8 @@
         registry(registry),
         owner(owner),
         leadership_changed(executor, clock),
+        access(registry),
+        reads(executor, clock),
         members(settings.membership, node) {}
 
   awaitable<answer_body> Answer(workflow::submit_job request);
@@ -114,10 +138,14 @@
   awaitable<answer_body> RecordOne(workflow::event event);
   awaitable<outcome<void>> ConfirmLeadership();
   awaitable<void> MembershipLoop();
+  outcome<admission> Admit(const workflow::job_address& address,
+                           const std::optional<tenancy::key_digest>& key);
+  core::failure Forbid(const std::string& tenant);
   bool IsLeader() const { return active_dispatcher != nullptr; }
   const workflow::job* FindJob(const workflow::queue& queue,
                                const workflow::job_address& address) const;
   bool IsAccepted(const workflow::job_address& address) const;
+  void WakeReads(const workflow::event& event);
   newest_report& FindNewestReport(const core::worker_id& id);
 
   const service_settings settings;
@@ -133,6 +161,8 @@
   /// Set while this process is the leader.
   std::unique_ptr<dispatcher> active_dispatcher;
   core::event leadership_changed;
+  tenancy::access_metrics access;
+  job_end_waits reads;
   membership_manager members;
   /// By worker. The sequences of earlier terms stay valid.
   std::map<core::worker_id, newest_report> newest_reports;
@@ -177,6 +207,44 @@
   return queue != nullptr && FindJob(*queue, address) != nullptr;
 }
 
+/// @return the caller's queue and tenant in the newest catalog.
+outcome<admission> service::impl::Admit(
+    const workflow::job_address& address,
+    const std::optional<tenancy::key_digest>& key) {
+  const workflow::state& state = machine.State();
+  if (state.Catalog().version == 0) {
+    return core::failure(core::unavailable{"no catalog is declared yet"});
+  }
+  const workflow::queue* const queue = state.Route(address.host, address.path);
+  if (queue == nullptr) return QueueNotFound(address);
+  const tenancy::terms* const tenant = state.Authenticate(*queue, key);
+  if (tenant != nullptr) return admission{*queue, *tenant};
+  access.OnUnauthenticated(key.has_value());
+  return core::failure(core::unauthenticated{});
+}
+
+/// @return the answer to a caller of `tenant` for a job of another one.
+core::failure service::impl::Forbid(const std::string& tenant) {
+  access.OnForbidden(tenant);
+  return core::forbidden{tenant};
+}
+
+/// Wakes the reads of a job that the event has ended.
+void service::impl::WakeReads(const workflow::event& event) {
+  const auto wake_if_final = [&](const std::string& id) {
+    const workflow::job* const job = machine.State().FindJob(id);
+    if (job == nullptr || IsFinal(job->phase)) reads.Notify(id);
+  };
+  std::visit(overloaded{[&](const workflow::job_cancelled& applied) {
+                          wake_if_final(applied.job);
+                        },
+                        [&](const workflow::run_ended& applied) {
+                          wake_if_final(applied.run.task.job);
+                        },
+                        [](const auto&) {}},
+             event);
+}
+
 awaitable<answer_body> service::impl::Answer(workflow::submit_job request) {
   // What is applied is committed, so that this needs no confirmation. A key
   // does: it may have been removed by a catalog that is not applied here yet.
@@ -186,81 +254,91 @@
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
   const workflow::state& state = machine.State();
-  if (state.Catalog().version == 0) {
-    co_return core::failure(core::unavailable{"no catalog is declared yet"});
-  }
-  const workflow::queue* const queue =
-      state.Route(request.address.host, request.address.path);
-  if (queue == nullptr) co_return QueueNotFound(request.address);
-  const tenancy::terms* const tenant = state.Authenticate(*queue, request.key);
-  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
-  request.spec.id = request.address.path.substr(queue->path_prefix.size());
+  const auto admitted = Admit(request.address, request.key);
+  if (!admitted) co_return admitted.error();
+  // The catalog may change while the job is recorded.
+  const workflow::queue queue = admitted->queue;
+  const tenancy::terms tenant = admitted->tenant;
+  request.spec.id = request.address.path.substr(queue.path_prefix.size());
   if (auto invalid = FindInvalidField(request.spec)) {
     co_return std::move(*invalid);
   }
-  if (const workflow::job* const known = FindJob(*queue, request.address)) {
-    if (!MayAccess(*tenant, *known)) co_return OfAnotherTenant();
+  if (const workflow::job* const known = FindJob(queue, request.address)) {
+    if (!MayAccess(tenant, *known)) co_return Forbid(tenant.name);
     co_return workflow::accepted{};
   }
   if (state.FindJob(request.spec.id) != nullptr) {
     co_return Invalid("id", "is the id of a job of another queue");
   }
   const std::string id = request.spec.id;
-  if (active_dispatcher)
-    active_dispatcher->Prepare(request.spec, *queue, *tenant);
-  workflow::event event = workflow::job_accepted{
-      std::move(request.spec), *queue, clock.WallNow(), *tenant};
+  if (active_dispatcher) {
+    active_dispatcher->Prepare(request.spec, queue, tenant);
+  }
+  workflow::event event = workflow::job_accepted{std::move(request.spec), queue,
+                                                 clock.WallNow(), tenant};
   auto answer = co_await RecordOne(std::move(event));
   if (active_dispatcher && state.FindJob(id) == nullptr) {
     active_dispatcher->DiscardPrepared(id);
   }
-  spdlog::info("job_submitted job={} recorded={}", id,
-               std::holds_alternative<workflow::accepted>(answer));
+  const bool is_recorded = std::holds_alternative<workflow::accepted>(answer);
+  spdlog::info("job_submitted job={} tenant=\"{}\" recorded={}", id,
+               tenant.name, is_recorded);
+  // Another tenant's job of the same id may have been recorded before.
+  const workflow::job* const recorded = state.FindJob(id);
+  if (recorded != nullptr && !MayAccess(tenant, *recorded)) {
+    co_return Forbid(tenant.name);
+  }
+  if (is_recorded && !tenant.name.empty()) access.OnAccepted(tenant.name);
   co_return answer;
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::get_job request) {
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
-  if (machine.State().Catalog().version == 0) {
-    co_return core::failure(core::unavailable{"no catalog is declared yet"});
-  }
-  const workflow::queue* const queue =
-      machine.State().Route(request.address.host, request.address.path);
-  if (queue == nullptr) co_return QueueNotFound(request.address);
-  const tenancy::terms* const tenant =
-      machine.State().Authenticate(*queue, request.key);
-  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
-  if (request.address.path == queue->path_prefix) {
-    const workflow::queue_view view{machine.State().CountQueued(*queue)};
+  const auto admitted = Admit(request.address, request.key);
+  if (!admitted) co_return admitted.error();
+  const workflow::queue& queue = admitted->queue;
+  if (request.address.path == queue.path_prefix) {
+    const workflow::queue_view view{machine.State().CountQueued(queue)};
     const auto confirmed_before = clock.Now() - node.LeadershipConfirmedAt();
     spdlog::info(
         "queue_counted queue={} catalog={} pending={} only_assigned={} "
         "applied={} leader_confirmed_ms={}",
-        queue->name, machine.State().Catalog().version, view.queued,
-        machine.State().CountOnlyAssigned(*queue), node.Status().applied,
+        queue.name, machine.State().Catalog().version, view.queued,
+        machine.State().CountOnlyAssigned(queue), node.Status().applied,
         std::chrono::duration_cast<core::milliseconds>(confirmed_before)
             .count());
     co_return view;
   }
-  const workflow::job* const job = FindJob(*queue, request.address);
+  const workflow::job* const job = FindJob(queue, request.address);
   if (job == nullptr) co_return workflow::job_not_found{};
-  if (!MayAccess(*tenant, *job)) co_return OfAnotherTenant();
-  co_return workflow::job_view{job->phase, job->failure};
+  if (!MayAccess(admitted->tenant, *job)) {
+    co_return Forbid(admitted->tenant.name);
+  }
+  if (request.wait.count() <= 0 || !MayEndSoon(*job)) {
+    co_return workflow::job_view{job->phase, job->failure};
+  }
+  const std::string id = job->spec.id;
+  co_await reads.WaitUntil(id,
+                           clock.Now() + std::min(request.wait, kMaxReadWait));
+  if (!IsLeader()) {
+    co_return core::failure(core::not_leader{node.Status().leader});
+  }
+  const workflow::job* const later = machine.State().FindJob(id);
+  if (later == nullptr) co_return workflow::job_not_found{};
+  co_return workflow::job_view{later->phase, later->failure};
 }
 
 awaitable<answer_body> service::impl::Answer(workflow::cancel_job request) {
   const auto confirmed = co_await ConfirmLeadership();
   if (!confirmed) co_return confirmed.error();
-  const workflow::queue* const queue =
-      machine.State().Route(request.address.host, request.address.path);
-  if (queue == nullptr) co_return QueueNotFound(request.address);
-  const tenancy::terms* const tenant =
-      machine.State().Authenticate(*queue, request.key);
-  if (tenant == nullptr) co_return core::failure(core::unauthenticated{});
-  const workflow::job* const job = FindJob(*queue, request.address);
+  const auto admitted = Admit(request.address, request.key);
+  if (!admitted) co_return admitted.error();
+  const workflow::job* const job = FindJob(admitted->queue, request.address);
   if (job == nullptr) co_return workflow::job_not_found{};
-  if (!MayAccess(*tenant, *job)) co_return OfAnotherTenant();
+  if (!MayAccess(admitted->tenant, *job)) {
+    co_return Forbid(admitted->tenant.name);
+  }
   if (IsFinal(job->phase)) co_return workflow::accepted{};
   const std::string id = job->spec.id;
   workflow::event event = workflow::job_cancelled{id};
@@ -405,6 +483,8 @@
 awaitable<answer_body> service::impl::Answer(
     workflow::declare_catalog request) {
   const std::uint64_t version = request.catalog.version;
+  const std::size_t tenants =
+      request.catalog.tenants ? request.catalog.tenants->size() : 0;
   if (version <= machine.State().Catalog().version) {
     // Only a process with confirmed leadership acknowledges the request.
     const auto barrier =
@@ -415,8 +495,8 @@
   workflow::event event =
       workflow::catalog_declared{std::move(request.catalog)};
   auto answer = co_await RecordOne(std::move(event));
-  spdlog::info("catalog_declared version={} recorded={}", version,
-               std::holds_alternative<workflow::accepted>(answer));
+  spdlog::info("catalog_declared version={} tenants={} recorded={}", version,
+               tenants, std::holds_alternative<workflow::accepted>(answer));
   co_return answer;
 }
 
@@ -483,6 +563,7 @@
 }
 
 void service::OnEvent(const workflow::event& event) {
+  impl_->WakeReads(event);
   if (impl_->active_dispatcher) impl_->active_dispatcher->OnEvent(event);
 }
 
@@ -498,6 +579,7 @@
         impl_->workers, impl_->eligibility, impl_->registry);
     impl_->active_dispatcher->Start();
   }
+  impl_->reads.NotifyAll();
   impl_->leadership_changed.NotifyAll();
 }
 
