--- a/src/dispatch/wait_report.cpp
+++ b/src/dispatch/wait_report.cpp
@@ -6,7 +6,7 @@
 #include "dispatch/dispatcher_impl.h"
 
 /// Log lines that tell what jobs wait for: a worker that does not answer,
-/// tickets, or capacity.
+/// tickets, capacity, or room below their tenant's cap.
 namespace mangoplank::dispatch {
 
 namespace {
@@ -71,12 +71,13 @@
   spdlog::info(
       "job_waiting job={} occurrence={} step={} queue={} age_ms={} gang={} "
       "tasks={} waiting={} held={} on_time={} eligible={} valid_tickets={} "
-      "pending_calls={}",
+      "pending_calls={} tenant=\"{}\" capped={}",
       job.spec.id, tasks.occurrence, tasks.step, job.queue.name,
       clock.WallNow() - job.accepted_at, step.gang, step.count,
       tasks.indexes.size(), CountHeldTasks(job, tasks),
       waiting.rank.objective == objective_status::kOnTime, eligible, valid,
-      is_checked ? view->second.pending_calls : 0);
+      is_checked ? view->second.pending_calls : 0, job.tenant.name,
+      tasks.is_capped);
 }
 
 /// Logs the oldest of the jobs whose tasks wait for a worker.
