--- a/include/mangoplank/dispatch/dispatcher.h
+++ b/include/mangoplank/dispatch/dispatcher.h
@@ -27,7 +27,7 @@
   bool learn_run_times = true;
   /// Workers on which tasks take longer than elsewhere get no new ones for a
   /// time.
-  bool avoid_slow_workers = true;
+  bool avoid_slow_workers = false;
 
   friend bool operator==(const dispatcher_settings&,
                          const dispatcher_settings&) = default;
--- a/src/dispatch/load_fixture.h
+++ b/src/dispatch/load_fixture.h
@@ -60,6 +60,9 @@
   /// Share of the workers on which tasks take longer, and by what factor.
   double slow_share = 0;
   double slow_factor = 1;
+  /// Time within the traffic during which they are slow.
+  core::milliseconds slow_begin{0};
+  core::milliseconds slow_end{3'600'000};
   dispatcher_settings dispatcher;
   std::vector<load_profile> profiles;
 };
--- a/src/dispatch/load_run_impl.h
+++ b/src/dispatch/load_run_impl.h
@@ -75,7 +75,7 @@
     std::int64_t lease_until_ms = 0;
     std::uint64_t next_end = 1;
     std::unique_ptr<core::event> has_ends;
-    /// Factor of the run times of its tasks.
+    /// Factor of the run times of tasks that begin while workers are slow.
     double slowness = 1;
   };
   struct gang_state {
@@ -115,6 +115,7 @@
   void CarryOutStop(const core::worker_id& worker, const workflow::run_id& run);
   void EndLeases();
   void Begin(const core::worker_id& worker, const workflow::run_id& run);
+  double SlownessOf(const worker_state& worker) const;
   void BreakGang(const workflow::run_id& member);
   void SaveProgress(const workflow::run_id& run, core::duration worked);
   void EndAfter(double run_ms, const core::worker_id& worker,
--- a/src/dispatch/load_test.cpp
+++ b/src/dispatch/load_test.cpp
@@ -93,6 +93,7 @@
   load_settings load = Scale(Resize(MakeTallyLoad(), 120), 0.8);
   load.slow_share = 0.1;
   load.slow_factor = 3;
+  load.dispatcher.avoid_slow_workers = true;
   const mean_result with = Play(load);
   load.dispatcher.avoid_slow_workers = false;
   const mean_result without = Play(load);
@@ -102,12 +103,30 @@
   EXPECT_GT(with.total_share, without.total_share);
 }
 
+// Pattern: some workers are slow for some seconds. Guards against workers that
+// are set aside for long after they have recovered.
+TEST_F(DecisionTest, SomeWorkersAreSlowForAWhile) {
+  load_settings load = Resize(MakeTallyLoad(), 120);
+  load.slow_share = 0.16;
+  load.slow_factor = 5;
+  load.slow_begin = core::milliseconds(8'000);
+  load.slow_end = core::milliseconds(14'500);
+  load.dispatcher.avoid_slow_workers = true;
+  const mean_result with = Play(load);
+  load.dispatcher.avoid_slow_workers = false;
+  const mean_result without = Play(load);
+  Print("slow_while_avoided", with);
+  Print("slow_while_used", without);
+  EXPECT_GE(with.total_share, without.total_share);
+}
+
 // Pattern: half of the workers are slow. Guards against so many workers set
 // aside that the rest can't carry the load.
 TEST_F(DecisionTest, HalfOfTheWorkersAreSlow) {
   load_settings load = Scale(Resize(MakeTallyLoad(), 120), 0.7);
   load.slow_share = 0.5;
   load.slow_factor = 2;
+  load.dispatcher.avoid_slow_workers = true;
   const mean_result with = Play(load);
   load.dispatcher.avoid_slow_workers = false;
   const mean_result without = Play(load);
@@ -120,6 +139,7 @@
 // aside since their tasks happen to be long.
 TEST_F(DecisionTest, NoWorkerIsSlow) {
   load_settings load = Resize(MakeTallyLoad(), 120);
+  load.dispatcher.avoid_slow_workers = true;
   const mean_result with = Play(load);
   load.dispatcher.avoid_slow_workers = false;
   const mean_result without = Play(load);
@@ -151,6 +171,7 @@
   }
   load.traffic_time = core::milliseconds(10'000);
   load.finish_time = core::milliseconds(60'000);
+  load.dispatcher.avoid_slow_workers = true;
   const load_result result = load_run(load).Play();
   EXPECT_GT(result.jobs, 300u);
   EXPECT_EQ(result.repeated_starts, 0u);
--- a/src/dispatch/load_workers_fixture.cpp
+++ b/src/dispatch/load_workers_fixture.cpp
@@ -82,6 +82,14 @@
                [this, worker, run, ending] { End(worker, run, ending); });
 }
 
+double load_run::impl::SlownessOf(const worker_state& worker) const {
+  const core::duration traffic =
+      clock.Now() - traffic_end + settings.traffic_time;
+  const bool is_slow_now =
+      traffic >= settings.slow_begin && traffic < settings.slow_end;
+  return is_slow_now ? worker.slowness : 1;
+}
+
 void load_run::impl::Begin(const core::worker_id& worker,
                            const workflow::run_id& run) {
   const job_plan& plan = plans.at(run.task.job);
@@ -97,7 +105,7 @@
   if (is_repeated) ++repeated_starts;
   if (!step.gang) {
     const bool fails = task.fails_once && run.number == 1;
-    EndAfter(task.run_ms * state.slowness, worker, run,
+    EndAfter(task.run_ms * SlownessOf(state), worker, run,
              fails ? workflow::run_end::kFailed : workflow::run_end::kDone);
     return;
   }
@@ -114,7 +122,7 @@
   }
   double slowest = 1;
   for (const auto& [member, at] : members) {
-    slowest = std::max(slowest, workers[at].slowness);
+    slowest = std::max(slowest, SlownessOf(workers[at]));
   }
   for (const auto& [member, at] : members) {
     EndAfter(task.run_ms * slowest, at, member, workflow::run_end::kDone);
--- a/src/dispatch/run_times_test.cpp
+++ b/src/dispatch/run_times_test.cpp
@@ -99,6 +99,7 @@
 TEST_F(RunTimesTest, ASlowWorkerIsSetAsideForATime) {
   constexpr std::uint32_t kWorkers = 6;
   const core::worker_id slow{"w3"};
+  settings_.avoid_slow_workers = true;
   for (std::uint32_t i = 0; i < kWorkers; ++i) {
     AddWorker("w" + std::to_string(i));
   }
