--- a/src/dispatch/run_orders.cpp
+++ b/src/dispatch/run_orders.cpp
@@ -31,6 +31,14 @@
     co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
     co_return;
   }
+  // The cap may have been lowered since that round. A later one plans the task
+  // again once the tenant's other runs leave room for it.
+  if (!IsWithinCap(*job)) {
+    spdlog::info("run_held_by_cap run={} tenant={}", Name(planned.run),
+                 job->tenant.name);
+    co_await RecordRunEnd(planned.run, workflow::run_end::kNotStarted);
+    co_return;
+  }
   monitor->runs.SetOrdered(*tracked);
   start_order order{monitor->token,
                     planned.run,
@@ -130,17 +138,18 @@
   co_return tried;
 }
 
-/// @return whether a start without an answer may be sent again: the capacity
-/// may have shrunk, or the run may have been stopped since.
+/// @return whether a start without an answer may be sent again: the capacity or
+/// the tenant's cap may have shrunk, or the run may have been stopped since.
 bool dispatcher::impl::MayRepeatStart(const worker_monitor& monitor,
                                       const workflow::run_id& run) {
   if (stopped || monitor.removed || monitor.worker.draining ||
       monitor.deregistered_at) {
     return false;
   }
+  const workflow::job* const job = event_log.State().FindJob(run.task.job);
   const auto tracked = monitor.runs.Runs().find(run);
   return tracked != monitor.runs.Runs().end() && !tracked->second.stopping &&
-         IsAssignedTo(run, monitor) &&
+         IsAssignedTo(run, monitor) && job != nullptr && IsWithinCap(*job) &&
          monitor.worker.capacity.Holds(monitor.runs.Ordered());
 }
 
