Take back a lost answer only if none was lost since

Cause: the late answers to one order could take back that an answer to another order of the worker was lost meanwhile. Change: each is numbered.

--- a/src/dispatch/dispatcher_impl.h
+++ b/src/dispatch/dispatcher_impl.h
@@ -95,6 +95,8 @@
   core::time_point unanswered_since{};
   /// Time of the last order of which a try had no answer.
   core::time_point lost_answer_at = kNever;
+  /// How often an answer was counted as lost.
+  std::uint64_t lost_answers = 0;
   /// The worker's steady clock when it was last read.
   std::optional<std::int64_t> clock_ms;
   core::time_point clock_read_at;
@@ -246,7 +248,8 @@
   core::awaitable<void> AwaitLateAnswers(
       std::shared_ptr<worker_monitor> monitor,
       std::shared_ptr<order_tries<Result>> tries,
-      std::optional<workflow::run_id> started, core::time_point lost_before);
+      std::optional<workflow::run_id> started, std::uint64_t lost_answer,
+      core::time_point lost_before);
   bool MayRepeatStart(const worker_monitor& monitor,
                       const workflow::run_id& run);
   void RecordStart(const workflow::run_id& run, const worker_monitor& monitor);
@@ -454,20 +457,21 @@
     std::optional<workflow::run_id> started) {
   const core::time_point before =
       std::exchange(monitor->lost_answer_at, clock.Now());
-  Spawn(
-      AwaitLateAnswers(monitor, std::move(tries), std::move(started), before));
+  Spawn(AwaitLateAnswers(monitor, std::move(tries), std::move(started),
+                         ++monitor->lost_answers, before));
 }
 
 template <class Result>
 core::awaitable<void> dispatcher::impl::AwaitLateAnswers(
     std::shared_ptr<worker_monitor> monitor,
     std::shared_ptr<order_tries<Result>> tries,
-    std::optional<workflow::run_id> started, core::time_point lost_before) {
+    std::optional<workflow::run_id> started, std::uint64_t lost_answer,
+    core::time_point lost_before) {
   const auto self = shared_from_this();
-  const core::time_point noted_at = monitor->lost_answer_at;
   const bool all_answered = co_await tries->Settle();
   if (!all_answered || stopped || monitor->removed) co_return;
-  if (monitor->lost_answer_at == noted_at) {
+  // Unless another one was lost since.
+  if (monitor->lost_answers == lost_answer) {
     monitor->lost_answer_at = lost_before;
   }
   tracked_run* const tracked = started ? monitor->runs.Find(*started) : nullptr;
