--- a/src/dispatch/service.cpp
+++ b/src/dispatch/service.cpp
@@ -120,8 +120,8 @@
         registry(registry),
         owner(owner),
         leadership_changed(executor, clock),
-        reads(executor, clock),
         access(registry),
+        reads(executor, clock),
         members(settings.membership, node) {}
 
   awaitable<answer_body> Answer(workflow::submit_job request);
@@ -161,8 +161,8 @@
   /// Set while this process is the leader.
   std::unique_ptr<dispatcher> active_dispatcher;
   core::event leadership_changed;
-  job_end_waits reads;
   tenancy::access_metrics access;
+  job_end_waits reads;
   membership_manager members;
   /// By worker. The sequences of earlier terms stay valid.
   std::map<core::worker_id, newest_report> newest_reports;
@@ -207,22 +207,6 @@
   return queue != nullptr && FindJob(*queue, address) != nullptr;
 }
 
-/// Wakes the reads of a job that the event has ended.
-void service::impl::WakeReads(const workflow::event& event) {
-  const auto wake_if_final = [&](const std::string& id) {
-    const workflow::job* const job = machine.State().FindJob(id);
-    if (job == nullptr || IsFinal(job->phase)) reads.Notify(id);
-  };
-  std::visit(overloaded{[&](const workflow::job_cancelled& applied) {
-                          wake_if_final(applied.job);
-                        },
-                        [&](const workflow::run_ended& applied) {
-                          wake_if_final(applied.run.task.job);
-                        },
-                        [](const auto&) {}},
-             event);
-}
-
 /// @return the caller's queue and tenant in the newest catalog.
 outcome<admission> service::impl::Admit(
     const workflow::job_address& address,
@@ -245,6 +229,22 @@
   return core::forbidden{tenant};
 }
 
+/// Wakes the reads of a job that the event has ended.
+void service::impl::WakeReads(const workflow::event& event) {
+  const auto wake_if_final = [&](const std::string& id) {
+    const workflow::job* const job = machine.State().FindJob(id);
+    if (job == nullptr || IsFinal(job->phase)) reads.Notify(id);
+  };
+  std::visit(overloaded{[&](const workflow::job_cancelled& applied) {
+                          wake_if_final(applied.job);
+                        },
+                        [&](const workflow::run_ended& applied) {
+                          wake_if_final(applied.run.task.job);
+                        },
+                        [](const auto&) {}},
+             event);
+}
+
 awaitable<answer_body> service::impl::Answer(workflow::submit_job request) {
   // What is applied is committed, so that this needs no confirmation. A key
   // does: it may have been removed by a catalog that is not applied here yet.
--- a/src/wire/convert_workflow_messages.cpp
+++ b/src/wire/convert_workflow_messages.cpp
@@ -34,9 +34,8 @@
 }
 static void WriteRequest(const workflow::get_job& value,
                          schema::WorkflowRequest::Builder builder) {
-  auto address = builder.initGet();
-  Write(value.address, value.key, address);
-  address.setWaitMs(value.wait.count());
+  Write(value.address, value.key, builder.initGet());
+  builder.setWaitMs(value.wait.count());
 }
 static void WriteRequest(const workflow::cancel_job& value,
                          schema::WorkflowRequest::Builder builder) {
@@ -82,7 +81,7 @@
     case WorkflowRequest::GET:
       return workflow::get_job{ReadAddress(reader.getGet()),
                                ReadDigest(reader.getGet().getKey()),
-                               core::milliseconds(reader.getGet().getWaitMs())};
+                               core::milliseconds(reader.getWaitMs())};
     case WorkflowRequest::CANCEL:
       return workflow::cancel_job{ReadAddress(reader.getCancel()),
                                   ReadDigest(reader.getCancel().getKey())};
--- a/src/wire/workflow.capnp
+++ b/src/wire/workflow.capnp
@@ -174,8 +174,6 @@
   path @1 :Text;
   # SHA-256 of the caller's key; empty if it sent none.
   key @2 :Data;
-  # Of a read: time for which it may wait for the job's end.
-  waitMs @3 :Int64;
 }
 
 struct WorkflowRequest {
@@ -199,6 +197,8 @@
       address @11 :Cell.Endpoint;
     }
   }
+  # Of a read of a job.
+  waitMs @12 :Int64;
 }
 
 struct WorkflowAnswer {
--- a/src/wire/workflow.capnp.h
+++ b/src/wire/workflow.capnp.h
@@ -389,7 +389,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83cb9fe53bda8710, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(83cb9fe53bda8710, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -417,7 +417,7 @@
   struct JoinMembers;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b586861e93a3549d, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -432,7 +432,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(81985cfc8bc880f7, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -447,7 +447,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(834f5815b8497272, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -462,7 +462,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(dd657142eb05bc17, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3047,8 +3047,6 @@
   inline bool hasKey() const;
   inline  ::capnp::Data::Reader getKey() const;
 
-  inline  ::int64_t getWaitMs() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3098,9 +3096,6 @@
   inline void adoptKey(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownKey();
 
-  inline  ::int64_t getWaitMs();
-  inline void setWaitMs( ::int64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3175,6 +3170,8 @@
   inline bool isJoinMembers() const;
   inline typename JoinMembers::Reader getJoinMembers() const;
 
+  inline  ::int64_t getWaitMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3255,6 +3252,9 @@
   inline typename JoinMembers::Builder getJoinMembers();
   inline typename JoinMembers::Builder initJoinMembers();
 
+  inline  ::int64_t getWaitMs();
+  inline void setWaitMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8234,20 +8234,6 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t JobAddress::Reader::getWaitMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t JobAddress::Builder::getWaitMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void JobAddress::Builder::setWaitMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::mangoplank::wire::schema::WorkflowRequest::Which WorkflowRequest::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -8582,6 +8568,20 @@
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename WorkflowRequest::JoinMembers::Builder(_builder);
 }
+inline  ::int64_t WorkflowRequest::Reader::getWaitMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t WorkflowRequest::Builder::getWaitMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WorkflowRequest::Builder::setWaitMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkflowRequest::Submit::Reader::hasTo() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
