--- a/include/mangoplank/api/server.h
+++ b/include/mangoplank/api/server.h
@@ -22,6 +22,9 @@
   core::milliseconds header_timeout{5'000};
   core::milliseconds body_timeout{15'000};
   core::milliseconds write_timeout{15'000};
+  /// A client that keeps the server waiting for longer, amid its request or
+  /// amid an answer, loses its connection once all are taken.
+  core::milliseconds stall_limit{1'000};
   /// Time for which input is read and discarded before a connection is closed,
   /// so that a client that is still sending gets the response, not a reset.
   core::milliseconds linger_timeout{1'000};
--- a/src/api/client_limits_test.cpp
+++ b/src/api/client_limits_test.cpp
@@ -99,6 +99,25 @@
   EXPECT_EQ(header.Read().status, 408u);
 }
 
+// Guards against clients that take all connections and stop amid a request, or
+// read no answers.
+TEST(ClientLimitsTest, AStalledClientGivesWayToANewerOne) {
+  server_limits limits;
+  limits.max_connections = 2;
+  limits.stall_limit = core::milliseconds(50);
+  test_cell cell(limits);
+  raw_client header(cell.endpoint);
+  header.Write("GET /healthz HTTP/1.1\r\n");
+  raw_client body(cell.endpoint);
+  SendUnfinished(body, 16 * kKiB);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  raw_client ordinary(cell.endpoint);
+  EXPECT_EQ(ordinary.Send("GET", "/healthz", "").status, 200u);
+  EXPECT_TRUE(header.IsClosed());
+  raw_client next(cell.endpoint);
+  EXPECT_EQ(next.Send("GET", "/healthz", "").status, 200u);
+}
+
 // Guards against a refused client whose input is read without an end.
 TEST(ClientLimitsTest, DiscardsABoundedNumberOfBytes) {
   server_limits limits;
--- a/src/api/connection.cpp
+++ b/src/api/connection.cpp
@@ -180,11 +180,14 @@
   request_parser.header_limit(environment_.limits.max_header_bytes);
   request_parser.body_limit(environment_.limits.max_body_bytes);
   header_bytes_ = 0;
+  stalled_since_ = environment_.clock.Now();
   const bool has_header = co_await ReadHeader(request_parser);
   if (!has_header) co_return false;
   const bool has_body = co_await ReadBody(request_parser);
   if (!has_body) co_return false;
+  stalled_since_.reset();
   const bool open = co_await Respond(request_parser);
+  stalled_since_.reset();
   ReleaseRequest(request_parser);
   co_return open;
 }
@@ -384,6 +387,7 @@
   const reply answer = co_await environment_.handler.Handle(std::move(request));
   lease_.Unpin();
   sending_ = true;
+  stalled_since_ = environment_.clock.Now();
   co_return co_await SendReply(answer, keep_alive, head_only, is_http_1_0,
                                received);
 }
@@ -411,6 +415,7 @@
   RecordResponse(stream.head.status, received);
   // A stream may last for hours and holds a piece at a time.
   lease_.Release();
+  stalled_since_.reset();
   co_return co_await SendStream(stream, head_only);
 }
 
--- a/src/api/connection.h
+++ b/src/api/connection.h
@@ -63,6 +63,11 @@
 
   /// @return the start of the idle time, or no value while a request is served.
   std::optional<core::time_point> IdleSince() const { return idle_since_; }
+  /// @return since when the server waits for the client amid a request or an
+  /// answer, or no value.
+  std::optional<core::time_point> StalledSince() const {
+    return stalled_since_;
+  }
   /// Ends the wait for the next request. Data already received is still served.
   void CloseIdle();
   /// Shuts the connection down at once.
@@ -119,6 +124,7 @@
   bool sending_ = false;
   std::string peer_;
   std::optional<core::time_point> idle_since_;
+  std::optional<core::time_point> stalled_since_;
 };
 
 }  // namespace mangoplank::api
--- a/src/api/growing_body.h
+++ b/src/api/growing_body.h
@@ -12,7 +12,9 @@
 
 /// A body in a string that grows with what arrives. Unlike string_body it
 /// allocates nothing for a length that is only announced.
+/// Beast sets the names of the members.
 struct growing_body {
+  // NOLINTBEGIN(readability-identifier-naming)
   using value_type = std::string;
 
   static std::uint64_t size(const value_type& body) { return body.size(); }
@@ -40,6 +42,7 @@
    private:
     value_type& body_;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 }  // namespace mangoplank::api
--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -72,6 +72,9 @@
                               "Time from a whole request to its response")},
         open_connections(metrics.Gauge("mangoplank_http_connections",
                                        "Open HTTP connections")),
+        stalled_closed(metrics.Counter(
+            "mangoplank_http_stalled_closed_total",
+            "Connections closed for others as their clients stalled")),
         connection_closed(executor, clock) {}
 
   core::outcome<core::endpoint> Listen(const core::endpoint& endpoint);
@@ -82,11 +85,15 @@
   core::awaitable<void> Serve(tcp::socket socket, bool reject);
   /// @return whether an idle connection was closed to free its place.
   bool CloseOldestIdle();
+  /// @return whether the connection that has waited longest for its client,
+  /// over the limit, was closed to free its place.
+  bool CloseLongestStalled();
   core::awaitable<void> WaitUntilEmpty(core::time_point deadline);
 
   tcp::acceptor acceptor;
   connection::environment environment;
   metrics::gauge& open_connections;
+  metrics::counter& stalled_closed;
   core::event connection_closed;
   std::set<connection*> connections;
 };
@@ -144,13 +151,28 @@
   return true;
 }
 
+bool server::impl::CloseLongestStalled() {
+  const core::time_point latest =
+      environment.clock.Now() - environment.limits.stall_limit;
+  connection* longest = nullptr;
+  for (connection* const c : connections) {
+    const auto since = c->StalledSince();
+    if (!since || *since > latest) continue;
+    if (longest == nullptr || *since < *longest->StalledSince()) longest = c;
+  }
+  if (longest == nullptr) return false;
+  longest->Abort();
+  stalled_closed.Add();
+  return true;
+}
+
 void server::impl::Admit(tcp::socket socket) {
   const std::size_t limit = environment.limits.max_connections;
   const bool full = connections.size() >= limit;
   // A connection that is being closed still counts, so the number may exceed
   // the limit briefly.
-  const bool reject =
-      full && (connections.size() >= HardLimit(limit) || !CloseOldestIdle());
+  const bool reject = full && (connections.size() >= HardLimit(limit) ||
+                               (!CloseOldestIdle() && !CloseLongestStalled()));
   // Too many connections even to send a response.
   if (reject && connections.size() >= RejectionLimit(limit)) return;
   asio::co_spawn(
