--- a/src/dispatch/cap_test.cpp
+++ b/src/dispatch/cap_test.cpp
@@ -8,7 +8,7 @@
 /// Time in which a worker's ends are read and the next tasks placed.
 constexpr seconds kSettleTime{3};
 
-using CapTest = TenantTest;
+class CapTest : public TenantTest {};
 
 // Guards against a tenant that runs more than its cap, and against one that is
 // held at its cap after some of its runs have ended.
