Keep the connections of silent machines open in the test of the search

Cause: the stand-ins of members_test.SilentMachinesDoNotDelayTheNextLeader closed their connections after the hello, so that the test passed on the code before the search was changed. Change: they read on.

--- a/src/workflow/client_test.cpp
+++ b/src/workflow/client_test.cpp
@@ -269,7 +269,13 @@
     silent.push_back(std::make_unique<wire::listener>(
         Context(),
         [](std::shared_ptr<wire::connection> connection)
-            -> core::awaitable<void> { co_await connection->Receive(); },
+            -> core::awaitable<void> {
+          bool is_open = true;
+          while (is_open) {
+            const auto frame = co_await connection->Receive();
+            is_open = frame.has_value();
+          }
+        },
         kMaxClients));
     ASSERT_TRUE(silent.back()->Start({Address(number), port_}));
   }
