Count the jobs of a queue without a search through all records

Each answer, and the log line with it, went through the records of all jobs, those that have ended minutes ago too, and so did each worker that came or went. Change: the state keeps the ids of the queued jobs by address of their queue, and of the jobs that have tasks.

--- a/include/mangoplank/workflow/state.h
+++ b/include/mangoplank/workflow/state.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mangoplank/tenancy/directory.h"
+#include "mangoplank/workflow/job_index.h"
 #include "mangoplank/workflow/types.h"
 
 /// Replicated state of workflows. Every change is an event in the log; all
@@ -234,6 +235,7 @@
   std::vector<std::size_t> queues_by_address_;
   tenancy::directory tenants_;
   std::map<std::string, job> jobs_;
+  job_index index_;
   std::map<core::worker_id, worker> workers_;
 };
 
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -166,6 +166,7 @@
       job.unfinished_tasks.push_back(step.count);
     }
   }
+  index_.Update(job);
 }
 
 void state::On(const job_cancelled& event) {
@@ -173,6 +174,7 @@
   if (it == jobs_.end() || IsFinal(it->second.phase)) return;
   it->second.phase = job_phase::kCancelled;
   DropTasks(it->second);
+  index_.Update(it->second);
 }
 
 void state::On(const run_assigned& event) {
@@ -195,6 +197,7 @@
   const auto it = jobs_.find(event.job);
   if (it == jobs_.end() || it->second.phase != job_phase::kQueued) return;
   it->second.phase = job_phase::kRunning;
+  index_.Update(it->second);
 }
 
 void state::FinishTask(job& job, const task_id& id) {
@@ -212,8 +215,10 @@
 void state::On(const run_ended& event) {
   if (!IsAssigned(event.run)) return;
   job& job = jobs_.find(event.run.task.job)->second;
+  const job_phase former_phase = job.phase;
   EndRun(job, event);
   DropTasks(job);
+  if (job.phase != former_phase || job.tasks.empty()) index_.Update(job);
 }
 
 /// The checkpoint of one member of a gang is valid for all of them, and they
@@ -286,7 +291,10 @@
 }
 
 void state::EndRuns(const worker_key& worker) {
-  for (auto& [id, job] : jobs_) {
+  const std::set<std::string>& ids = index_.WithTasks();
+  for (auto it = ids.begin(); it != ids.end();) {
+    // The job leaves the index if this ends its last run.
+    job& job = jobs_.find(*it++)->second;
     for (task& task : job.tasks) {
       if (task.phase != task_phase::kAssigned || task.worker.id != worker.id) {
         continue;
@@ -297,13 +305,14 @@
       task.worker_confirmed = false;
     }
     DropTasks(job);
+    if (job.tasks.empty()) index_.Update(job);
   }
 }
 
 /// A worker that was only cut off says nothing against the tasks that it had.
 void state::TakeBackLosses(const worker_key& returned) {
-  for (auto& [id, job] : jobs_) {
-    for (task& task : job.tasks) {
+  for (const std::string& id : index_.WithTasks()) {
+    for (task& task : jobs_.find(id)->second.tasks) {
       std::erase_if(task.silent_losses, [&](const silent_loss& loss) {
         if (loss.worker != returned) return false;
         --task.losses;
@@ -338,7 +347,11 @@
   for (const std::string& id : event.jobs) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end() || !IsFinal(it->second.phase)) continue;
-    if (!HasAssignedRun(it->second)) jobs_.erase(it);
+    if (HasAssignedRun(it->second)) continue;
+    // A snapshot of earlier code may hold tasks of such a job.
+    DropTasks(it->second);
+    index_.Update(it->second);
+    jobs_.erase(it);
   }
 }
 
@@ -395,19 +408,13 @@
 }
 
 std::size_t state::CountQueued(const workflow::queue& queue) const {
-  return static_cast<std::size_t>(
-      std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
-        return HaveSameAddress(entry.second.queue, queue) &&
-               entry.second.phase == job_phase::kQueued;
-      }));
+  return index_.Queued(queue).size();
 }
 
 std::size_t state::CountOnlyAssigned(const workflow::queue& queue) const {
-  return static_cast<std::size_t>(
-      std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
-        const job& job = entry.second;
-        return HaveSameAddress(job.queue, queue) &&
-               job.phase == job_phase::kQueued && HasAssignedRun(job);
+  return static_cast<std::size_t>(std::ranges::count_if(
+      index_.Queued(queue), [this](const std::string& id) {
+        return HasAssignedRun(jobs_.find(id)->second);
       }));
 }
 
@@ -423,7 +430,10 @@
   state restored;
   restored.catalog_ = image.catalog;
   restored.IndexCatalog();
-  for (const job& job : image.jobs) restored.jobs_.emplace(job.spec.id, job);
+  for (const job& job : image.jobs) {
+    restored.jobs_.emplace(job.spec.id, job);
+    restored.index_.Update(job);
+  }
   for (const worker& worker : image.workers) {
     restored.workers_.emplace(worker.key.id, worker);
   }
