Let a new connection wait for one that is being closed

Cause: a connection that the server closes for a new one counts until its task has ended. With all places taken, the next client could meet the hard limit in between and was told 503 too-many-connections, although a place became free at that moment. An idle connection that was already being closed could also be chosen a second time. Change: such a client waits up to 100 ms for a connection that is being closed; a connection is chosen once. Places are counted when they are taken, not when the task of the connection starts.

--- a/src/api/connection.cpp
+++ b/src/api/connection.cpp
@@ -121,12 +121,15 @@
 }
 
 void connection::CloseIdle() {
+  if (!idle_since_) return;
+  closing_ = true;
   error_code ignored;
   // Data that already arrived can still be read after this.
-  if (idle_since_) socket_.shutdown(socket::shutdown_receive, ignored);
+  socket_.shutdown(socket::shutdown_receive, ignored);
 }
 
 void connection::Abort() {
+  closing_ = true;
   // The server doesn't choose it again while its task ends.
   stalled_since_.reset();
   error_code ignored;
--- a/src/api/connection.h
+++ b/src/api/connection.h
@@ -68,6 +68,9 @@
   std::optional<core::time_point> StalledSince() const {
     return stalled_since_;
   }
+  /// @return whether the server has chosen to close it. It may still serve a
+  /// request that has already arrived.
+  bool IsClosing() const { return closing_; }
   /// Ends the wait for the next request. Data already received is still served.
   void CloseIdle();
   /// Shuts the connection down at once.
@@ -122,6 +125,7 @@
   std::size_t header_bytes_ = 0;
   int receive_buffer_bytes_;
   bool sending_ = false;
+  bool closing_ = false;
   std::string peer_;
   std::optional<core::time_point> idle_since_;
   std::optional<core::time_point> stalled_since_;
--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -24,6 +24,8 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 /// Delay after a failed accept, as for lack of file descriptors or memory.
 constexpr core::milliseconds kAcceptRetryDelay(100);
+/// Longest wait of a new connection for one that is being closed.
+constexpr core::milliseconds kCloseTimeout(100);
 
 std::array<metrics::counter*, 6> RegisterResponseCounters(
     metrics::registry& metrics) {
@@ -82,7 +84,13 @@
   /// Accepts the connections that the kernel has already established.
   void AcceptPending();
   void Admit(tcp::socket socket);
-  core::awaitable<void> Serve(tcp::socket socket, bool reject);
+  core::awaitable<void> Serve(tcp::socket socket, bool has_place);
+  /// Takes a place for a new connection, if need be one that is freed by
+  /// closing an idle or stalled connection.
+  /// @return whether there was one.
+  bool TakePlace();
+  /// The same, once connections that are being closed have ended.
+  core::awaitable<bool> WaitForPlace();
   /// @return whether an idle connection was closed to free its place.
   bool CloseOldestIdle();
   /// @return whether the connection that has waited longest for its client,
@@ -96,6 +104,8 @@
   metrics::counter& stalled_closed;
   core::event connection_closed;
   std::set<connection*> connections;
+  /// Connections that are served or being closed; the others are rejected.
+  std::size_t places_taken = 0;
 };
 
 core::outcome<core::endpoint> server::impl::Listen(
@@ -143,7 +153,7 @@
 bool server::impl::CloseOldestIdle() {
   connection* oldest = nullptr;
   for (connection* const c : connections) {
-    if (!c->IdleSince()) continue;
+    if (!c->IdleSince() || c->IsClosing()) continue;
     if (oldest == nullptr || *c->IdleSince() < *oldest->IdleSince()) oldest = c;
   }
   if (oldest == nullptr) return false;
@@ -166,37 +176,61 @@
   return true;
 }
 
-void server::impl::Admit(tcp::socket socket) {
+bool server::impl::TakePlace() {
   const std::size_t limit = environment.limits.max_connections;
-  const bool full = connections.size() >= limit;
   // A connection that is being closed still counts, so the number may exceed
   // the limit briefly.
-  const bool reject = full && (connections.size() >= HardLimit(limit) ||
-                               (!CloseOldestIdle() && !CloseLongestStalled()));
+  const bool is_full = places_taken >= limit;
+  if (is_full && (places_taken >= HardLimit(limit) ||
+                  (!CloseOldestIdle() && !CloseLongestStalled()))) {
+    return false;
+  }
+  ++places_taken;
+  return true;
+}
+
+core::awaitable<bool> server::impl::WaitForPlace() {
+  const core::time_point deadline = environment.clock.Now() + kCloseTimeout;
+  const auto is_closing = [](const connection* c) { return c->IsClosing(); };
+  while (std::ranges::any_of(connections, is_closing)) {
+    const bool closed = co_await connection_closed.WaitUntil(deadline);
+    if (!closed) co_return false;
+    if (TakePlace()) co_return true;
+  }
+  co_return false;
+}
+
+void server::impl::Admit(tcp::socket socket) {
+  const bool has_place = TakePlace();
   // Too many connections even to send a response.
-  if (reject && connections.size() >= RejectionLimit(limit)) return;
+  if (!has_place && connections.size() >=
+                        RejectionLimit(environment.limits.max_connections)) {
+    return;
+  }
   asio::co_spawn(
       acceptor.get_executor(),
       [](std::shared_ptr<impl> self, tcp::socket accepted,
-         bool rejected) -> core::awaitable<void> {
-        co_await self->Serve(std::move(accepted), rejected);
-      }(shared_from_this(), std::move(socket), reject),
+         bool admitted) -> core::awaitable<void> {
+        co_await self->Serve(std::move(accepted), admitted);
+      }(shared_from_this(), std::move(socket), has_place),
       asio::detached);
 }
 
-core::awaitable<void> server::impl::Serve(tcp::socket socket, bool reject) {
+core::awaitable<void> server::impl::Serve(tcp::socket socket, bool has_place) {
   connection served(std::move(socket), environment);
   connections.insert(&served);
   open_connections.Set(static_cast<double>(connections.size()));
   try {
-    if (reject) {
-      co_await served.Reject();
-    } else {
+    if (!has_place) has_place = co_await WaitForPlace();
+    if (has_place) {
       co_await served.Run();
+    } else {
+      co_await served.Reject();
     }
   } catch (...) {
     core::LogTaskFailure("http_connection");
   }
+  if (has_place) --places_taken;
   connections.erase(&served);
   open_connections.Set(static_cast<double>(connections.size()));
   connection_closed.NotifyAll();
