Keep admitted and rejected connections within one bound

Places are counted apart from connections that are being rejected, so that both together could exceed the descriptors that MaxConnectionsWithin divides by, by a tenth of the connections, for as long as rejected ones linger.

--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -204,12 +204,11 @@
 }
 
 void server::impl::Admit(tcp::socket socket) {
+  // Too many connections even to send a response. Those that are being rejected
+  // count too, as the descriptors have to last for all.
+  const std::size_t limit = environment.limits.max_connections;
+  if (connections.size() >= RejectionLimit(limit)) return;
   const bool has_place = TakePlace();
-  // Too many connections even to send a response.
-  if (!has_place && connections.size() >=
-                        RejectionLimit(environment.limits.max_connections)) {
-    return;
-  }
   asio::co_spawn(
       acceptor.get_executor(),
       [](std::shared_ptr<impl> self, tcp::socket accepted,
