--- a/review/common-3/case.py
+++ b/review/common-3/case.py
@@ -126,7 +126,7 @@
         try:
             self.deployment.start()
             for index in range(workers):
-                await self.add_worker(index, **options)
+                await self.add_worker(index, **options(index))
             await self.put_config(1, routes)
             await asyncio.sleep(max(0.0, LEAD_S - self.now()))
             await self.play()
@@ -140,7 +140,8 @@
                 worker.stop()
             self.deployment.stop(os.environ.get("KEEP_LOGS"))
 
-    def main(self, workers, routes, gateways=3, **options):
+    def main(self, workers, routes, gateways=3, options=lambda index: {}):
+        """`options` gives further arguments of the worker with an index."""
         try:
             asyncio.run(self._run(workers, gateways, routes, options))
         except Exception:  # a case that can't run says so by its exit code
--- a/review/common-3/workers.py
+++ b/review/common-3/workers.py
@@ -28,12 +28,13 @@
 class Worker:
     """One life of a worker."""
 
-    def __init__(self, case, name, host, labels, cpu=16000, address=None):
+    def __init__(self, case, name, host, labels, cpu=16000, gpus=0, address=None):
         self.case, self.id, self.host, self.labels, self.cpu = case, name, host, labels, cpu
+        self.gpus = gpus
         self.born = int(time.time() * 1000)
         self.clock_base = random.randint(1_000, 900_000)
         self.began = time.monotonic()
-        self.sequence = 0
+        self.sequence = self.acked = 0
         self.fence = 0
         self.lease_ms = 0
         self.runs, self.ends, self.ended_runs = {}, [], {}
@@ -69,19 +70,23 @@
     def clock_ms(self):
         return self.clock_base + int((time.monotonic() - self.began) * 1000)
 
+    def ping(self):
+        return {"backend": self.case.service, "address": "%s:%d" % self.address,
+                "zone": "zone-1", "version": "v1", "slots": 8, "state": self.state,
+                "cold-remaining-ms": 0,
+                "capacity": {"cpu": self.cpu, "mem-mb": 131072, "gpus": self.gpus},
+                "labels": self.labels, "clock-ms": self.clock_ms(),
+                "sequence": self.sequence, "born": self.born}
+
     async def _beat(self):
         while self.alive:
             self.sequence += 1
-            body = {"backend": self.case.service, "address": "%s:%d" % self.address,
-                    "zone": "zone-1", "version": "v1", "slots": 8, "state": self.state,
-                    "cold-remaining-ms": 0,
-                    "capacity": {"cpu": self.cpu, "mem-mb": 131072, "gpus": 0},
-                    "labels": self.labels, "clock-ms": self.clock_ms(),
-                    "sequence": self.sequence, "born": self.born}
+            body = self.ping()
             for address in random.sample(self.case.deployment.controls, 3):
                 status, _ = await call(address, "POST",
                                        f"/mangoplank/instances/{self.id}/heartbeat", body)
                 if status == 200:
+                    self.acked += 1
                     break
             await asyncio.sleep(HEARTBEAT_S)
 
