Review 3: two runs of a task after a cut, from the known entry (case 11)

Cause: the end of a silent worker's lease is taken to end all of its runs, also one of which a start without an answer may still be carried out by the next incarnation of the worker. Workers of the stand-in can be cut off, start again under their ids and carry orders out late; a case that gets SIGTERM ends what it has started.

--- a/review/common-3/case.py
+++ b/review/common-3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import time
 import traceback
@@ -40,9 +41,16 @@
     def on_end(self, worker, run, how):
         self.note("ended", f"{run.task}/{run.number} on {worker.id} {how}")
 
+    def on_crash(self, worker, run):
+        self.note("crashed", f"{run.task}/{run.number} with {worker.id}")
+
     def fails_now(self, run):
         return False
 
+    def is_late(self, worker):
+        """Whether an order that the worker reads now is left unanswered and carried out late."""
+        return False
+
     # The record.
 
     def now(self):
@@ -122,6 +130,9 @@
         raise NotImplementedError
 
     async def _run(self, workers, gateways, routes, options):
+        # So that a case that is ended from outside ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      asyncio.current_task().cancel)
         self.deployment = Deployment(gateways)
         try:
             self.deployment.start()
@@ -144,7 +155,7 @@
         """`options` gives further arguments of the worker with an index."""
         try:
             asyncio.run(self._run(workers, gateways, routes, options))
-        except Exception:  # a case that can't run says so by its exit code
+        except (Exception, asyncio.CancelledError):  # the exit code says that it could not run
             traceback.print_exc()
             self.record.close()
             sys.exit(2)
--- a/review/common-3/workers.py
+++ b/review/common-3/workers.py
@@ -15,6 +15,11 @@
 TICK_S = 0.02
 MAX_WAIT_MS = 2000
 LISTED_ENDS = 500
+# Time for which a call that gets no answer keeps its channel.
+SILENT_S = 1.0
+PAUSE_S = 0.05
+# PROTOCOL.md and kinds: an order without an answer is carried out 2 to 12 s later.
+LATE_S = (2.0, 12.0)
 
 
 class Run:
@@ -31,20 +36,25 @@
     def __init__(self, case, name, host, labels, cpu=16000, gpus=0, address=None):
         self.case, self.id, self.host, self.labels, self.cpu = case, name, host, labels, cpu
         self.gpus = gpus
+        self.changed = asyncio.Event()
+        self.alive = True
+        self.cut = False
+        self.state = "ready"
+        self.wanted_address = address
+        self._begin()
+        self.tasks = []
+        self.server = Server(self.handle)
+
+    def _begin(self):
+        """Counts and lists start anew with each life."""
         self.born = int(time.time() * 1000)
-        self.clock_base = random.randint(1_000, 900_000)
+        self.clock_base = random.randint(0, 100)
         self.began = time.monotonic()
         self.sequence = self.acked = 0
         self.fence = 0
         self.lease_ms = 0
         self.runs, self.ends, self.ended_runs = {}, [], {}
         self.end_count = 0
-        self.changed = asyncio.Event()
-        self.alive = True
-        self.state = "ready"
-        self.wanted_address = address
-        self.tasks = []
-        self.server = Server(self.handle)
 
     async def start(self):
         host, port = self.wanted_address or (self.host, 0)
@@ -57,7 +67,7 @@
             return
         self.alive = False
         for run in list(self.runs.values()):
-            self.case.note("crashed", f"{run.task}/{run.number} with {self.id}")
+            self.case.on_crash(self, run)
         self.runs.clear()
         self.stop()
 
@@ -82,6 +92,9 @@
         while self.alive:
             self.sequence += 1
             body = self.ping()
+            if self.cut:
+                await asyncio.sleep(PAUSE_S)
+                continue
             for address in random.sample(self.case.deployment.controls, 3):
                 status, _ = await call(address, "POST",
                                        f"/mangoplank/instances/{self.id}/heartbeat", body)
@@ -114,13 +127,48 @@
                 elif "ms" in run.spec and now >= run.started + run.spec["ms"] / 1000:
                     self._end(run, "done")
 
+    def reborn(self):
+        """Crashes and starts again at once, under the same id and at the same address: holds and
+        knows nothing of before."""
+        for run in list(self.runs.values()):
+            self.case.on_crash(self, run)
+        self._begin()
+
+    def set_cut(self, cut):
+        """Begins or ends a cut: what is sent to the worker and by it is lost."""
+        self.cut = cut
+
     async def handle(self, method, path, headers, body):
+        if self.cut:
+            return await self._no_answer()
+        answer = await self._handle(method, path, headers, body)
+        return await self._no_answer() if self.cut else answer
+
+    async def _no_answer(self):
+        await asyncio.sleep(SILENT_S)
+
+    async def _late(self, path, body):
+        """Carries an order out later, by the life that then has the id; nobody gets the answer."""
+        await asyncio.sleep(random.uniform(*LATE_S))
+        if self.alive:
+            self.case.note("late", f"{self.id} {path} {body.get('task', '')}")
+            self._carry_out(path, body)
+
+    async def _handle(self, method, path, headers, body):
         if not self.alive:
             return None
         if headers.get("x-mangoplank-expect-instance", self.id) != self.id:
             return 421, {}
         if method != "POST" or not isinstance(body, dict):
             return 404, {}
+        if self.case.is_late(self):
+            self.tasks.append(asyncio.create_task(self._late(path, body)))
+            return await self._no_answer()
+        answer = self._carry_out(path, body)
+        return await self._list(body) if answer is None else answer
+
+    def _carry_out(self, path, body):
+        """Returns the answer, or None for the lists of runs."""
         token = body.get("fencing-token", 0)
         if token < self.fence:
             return 409, {"clock-ms": self.clock_ms(), "reason": "fence"}
@@ -130,7 +178,7 @@
         if path == "/mangoplank/run-stop":
             return self._stop(body)
         if path == "/mangoplank/hold":
-            return await self._hold(body)
+            return self._hold(body)
         return 404, {}
 
     def _extend(self, body):
@@ -162,11 +210,13 @@
             self.ended_runs[task] = max(self.ended_runs.get(task, 0), number)
         return 200, {"clock-ms": self.clock_ms()}
 
-    async def _hold(self, body):
+    def _hold(self, body):
         seen = body.get("last-seen", 0)
         self.ends = [end for end in self.ends if end[0] > seen]
         if "deadline-ms" in body:
             self._extend(body)
+
+    async def _list(self, body):
         wait_s = min(body.get("wait-ms", 0), MAX_WAIT_MS) / 1000
         if wait_s and not self.ends:
             self.changed.clear()
