Review 3: the settings of a case come from the soak's stand-in

Cause: settings_template_test.py fails on each stand-in with a renderer of its own that it doesn't know, and stands outside review/. Change: common-3/deployment.py has none any more; the soak's Process, which that test checks, writes the settings.

--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -7,74 +7,32 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
+from types import SimpleNamespace
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.append(os.path.join(ROOT, "platform", "soak"))
+from soak import Process as SoakProcess  # noqa: E402
+
 CONTROLLERS = 5
-SEEDS = 3
 LOSSES = 2
 GRACE_S = 6
-MAX_HOLD_MS = 6000
-FRONT_PORT, CONTROL_PORT, READY_PORT = 8161, 8166, 8167
-INTERNAL_PORTS = [7720, 7735]
-
-
-def _lookup(values, name):
-    value = values
-    for part in name.split("."):
-        value = value[int(part)] if isinstance(value, list) else value.get(part)
-        if value is None:
-            return None
-    return value
-
-
-def render(template, values):
-    """Fills in the settings template as DEPLOY.md describes."""
-    def section(match):
-        items = _lookup(values, match[1]) or []
-        return "".join(match[2].replace("{{@}}", str(i)).replace("{{.}}", str(item))
-                       for i, item in enumerate(items))
-
-    def field(match):
-        value = _lookup(values, match[1])
-        if value is None:
-            return ""
-        return str(value).lower() if isinstance(value, bool) else str(value)
-
-    text = re.sub(r"\{\{#([\w.-]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
-    return re.sub(r"\{\{([\w.-]+)\}\}", field, text)
+FRONT_PORT, CONTROL_PORT, ADVICE_PORT = 8161, 8166, 8169
 
 
 class Process:
     """One program on an address of its own."""
 
     def __init__(self, deployment, role, number):
-        self.deployment, self.role, self.number = deployment, role, number
-        self.name = f"{role}-{number}"
-        group = 10 if role == "controller" else 20
-        self.ip = f"127.{deployment.block}.{group}.{number}"
-        self.folder = os.path.join(deployment.folder, self.name)
-        os.makedirs(self.folder)
+        # The soak's stand-in of the platform renders the settings, in a folder of its own.
+        self.settings = SoakProcess(deployment.settings, role, number)
+        self.role, self.number, self.name = role, number, self.settings.name
+        self.ip, self.folder = self.settings.ip, self.settings.folder
         self.child = None
 
     def start(self, bootstrap):
-        deployment = self.deployment
-        values = {
-            "node-name": self.name, "ip": self.ip, "zone": f"zone-{self.number % 3 + 1}",
-            "bootstrap": bootstrap, "limits": {"max-fds": 4096, "memory-mb": 256},
-            "bind-addrs": {"front": f"{self.ip}:{FRONT_PORT}", "ready": f"{self.ip}:{READY_PORT}",
-                           "control": f"{self.ip}:{CONTROL_PORT}"},
-            "internal-ports": INTERNAL_PORTS,
-            "seed-nodes": [f"{p.ip}:{CONTROL_PORT}" for p in deployment.controllers[:SEEDS]],
-            "data-dir": os.path.join(self.folder, "data") if self.role == "controller" else None,
-            "fault-tolerance": {"machines": LOSSES}, "advice": None,
-            "bounds": {"grace-s": GRACE_S, "max-hold-ms": MAX_HOLD_MS},
-        }
-        with open(os.path.join(ROOT, "platform/settings.ini.template"), encoding="utf-8") as f:
-            text = render(f.read(), values)
-        path = os.path.join(self.folder, "settings.ini")
-        with open(path, "w", encoding="utf-8") as f:
-            f.write(text)
+        path = self.settings.write_settings(bootstrap)
         program = os.path.join(ROOT, "target", f"mangoplank-{self.role}")
         with open(os.path.join(self.folder, "log"), "ab") as log:
             self.child = subprocess.Popen([program, "--config", path], stdout=log, stderr=log,
@@ -104,8 +62,14 @@
             raise RuntimeError("not built: " + ", ".join(missing))
         self.folder = tempfile.mkdtemp(prefix="review-3.")
         self.block, self._claim = self._claim_block()
-        self.controllers = []
-        self.controllers += [Process(self, "controller", i + 1) for i in range(CONTROLLERS)]
+        self.settings = SimpleNamespace(
+            address_block=self.block, folder=self.folder, bin=os.path.join(ROOT, "target"),
+            model=None, tolerated_losses=LOSSES, controls=[],
+            # Nothing listens there: no queue of the cases has advice.
+            eligibility_address=(f"127.{self.block}.40.1", ADVICE_PORT),
+            options=SimpleNamespace(grace=GRACE_S, relay=False))
+        self.controllers = [Process(self, "controller", i + 1) for i in range(CONTROLLERS)]
+        self.settings.controls += [p.settings for p in self.controllers]
         self.gateways = [Process(self, "gateway", i + 1) for i in range(gateways)]
 
     @staticmethod
